--- /dev/null
+++ b/src/ragwortpin/platform/fwd.h
@@ -0,0 +1,15 @@
+#ifndef RAGWORTPIN_PLATFORM_FWD_H
+#define RAGWORTPIN_PLATFORM_FWD_H
+
+namespace ragwortpin {
+
+struct store_entry;
+struct store_compare;
+struct store_write;
+struct store_range;
+struct store_transaction;
+struct store_reply;
+
+} // namespace ragwortpin
+
+#endif
