Add a stand-in for a target

Cause: the nodes need targets with slots, a connection limit, cold starts, downstream calls, faults and a record of what ran, to announce themselves.

Ruled out: giving slots back by a guard object, because frames of coroutines that are left at exit are destroyed after the pool.

--- a/src/standins/ragwortpin_store_standin.cpp
+++ b/src/standins/ragwortpin_store_standin.cpp
@@ -2,12 +2,12 @@
 #include "standins/support/http_server.h"
 #include "standins/support/json.h"
 #include "standins/support/options.h"
+#include "standins/support/slot_pool.h"
 #include "standins/support/store_faults.h"
 #include "standins/support/store_gateway.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -40,18 +40,6 @@
     std::uint64_t callsTotal{0};
 };
 
-/** Waits; ends early when the exchange is cancelled. */
-asio::awaitable<void> waitFor(milliseconds span, exchange_pointer current)
-{
-    asio::steady_timer timer{co_await asio::this_coro::executor, span};
-    current->onCancel = [&timer] {
-        timer.cancel();
-    };
-    boost::system::error_code error;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
-    current->onCancel = nullptr;
-}
-
 reply noAnswer()
 {
     reply answer;
--- /dev/null
+++ b/src/standins/support/http_client.cpp
@@ -0,0 +1,131 @@
+#include "standins/support/http_client.h"
+
+#include <boost/asio/ip/address_v4.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace ragwortpin::standins {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+/** Whether an idle connection is still open and has no unexpected bytes waiting. */
+bool isUsable(tcp::socket &socket)
+{
+    error_code error;
+    char byte{};
+    socket.non_blocking(true, error);
+    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error == asio::error::would_block;
+}
+
+asio::awaitable<std::error_code> connect(boost::beast::tcp_stream &stream, const endpoint &address)
+{
+    error_code error;
+    const tcp::endpoint peer{asio::ip::make_address_v4(address.host), address.port};
+    co_await stream.async_connect(peer, asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        co_return error;
+    }
+    stream.socket().set_option(tcp::no_delay{true}, error);
+    co_return error;
+}
+
+} // namespace
+
+http_client::http_client(asio::io_context &context, std::size_t maxConnections)
+    : m_context{context}
+    , m_maxConnections{maxConnections}
+{ }
+
+bool http_client::exhausted() const noexcept
+{
+    return m_inUse >= m_maxConnections;
+}
+
+asio::awaitable<call_result> http_client::send(endpoint address, http_request request, duration timeout, exchange_pointer caller)
+{
+    call_result result;
+    auto stream = takeIdle(address);
+    const bool fresh = stream == nullptr;
+    if (fresh) {
+        stream = std::make_shared<boost::beast::tcp_stream>(m_context);
+    }
+    ++m_inUse;
+    if (caller) {
+        caller->onCancel = [stream] {
+            stream->cancel();
+        };
+    }
+    stream->expires_after(timeout);
+    if (fresh) {
+        result.error = co_await connect(*stream, address);
+    }
+    if (!result.error) {
+        request.set(http::field::host, toText(address));
+        request.prepare_payload();
+        result.error = co_await exchangeMessages(stream, request, result.response);
+    }
+    if (caller) {
+        caller->onCancel = nullptr;
+    }
+    --m_inUse;
+    if (!result.error && result.response.keep_alive()) {
+        stream->expires_never();
+        m_idle[address].push_back(stream);
+        ++m_idleCount;
+        if (m_inUse + m_idleCount > m_maxConnections) {
+            closeOneIdle();
+        }
+    }
+    co_return result;
+}
+
+http_client::stream_pointer http_client::takeIdle(const endpoint &address)
+{
+    auto &idle = m_idle[address];
+    while (!idle.empty()) {
+        const auto stream = idle.back();
+        idle.pop_back();
+        --m_idleCount;
+        if (isUsable(stream->socket())) {
+            return stream;
+        }
+    }
+    if (m_idleCount > 0 && m_inUse + m_idleCount >= m_maxConnections) {
+        closeOneIdle();
+    }
+    return nullptr;
+}
+
+void http_client::closeOneIdle()
+{
+    for (auto &[address, idle] : m_idle) {
+        if (!idle.empty()) {
+            idle.erase(idle.begin());
+            --m_idleCount;
+            return;
+        }
+    }
+}
+
+asio::awaitable<std::error_code> http_client::exchangeMessages(stream_pointer stream, http_request &request, http_response &response)
+{
+    error_code error;
+    co_await http::async_write(*stream, request, asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        co_return error;
+    }
+    boost::beast::flat_buffer buffer;
+    co_await http::async_read(*stream, buffer, response, asio::redirect_error(asio::use_awaitable, error));
+    co_return error;
+}
+
+} // namespace ragwortpin::standins
--- /dev/null
+++ b/src/standins/support/node_link.cpp
@@ -0,0 +1,112 @@
+#include "standins/support/node_link.h"
+
+#include "standins/support/daemon.h"
+#include "standins/support/json.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace ragwortpin::standins {
+
+namespace {
+
+namespace asio = boost::asio;
+
+/** Period of announcing until the node has confirmed. */
+constexpr seconds UnconfirmedPeriod{1};
+
+/** Period of announcing once the node has confirmed. */
+constexpr seconds ConfirmedPeriod{5};
+
+constexpr seconds LoadPeriod{1};
+constexpr seconds CallTimeout{1};
+
+/** Connections to the node's admin listener at most. */
+constexpr std::size_t MaxAdminConnections{4};
+
+std::string makeAnnouncement(const node_link_settings &settings)
+{
+    Json::Value body{Json::objectValue};
+    body["service"] = settings.service;
+    body["slots"] = static_cast<Json::UInt64>(settings.slots);
+    body["connections"] = static_cast<Json::UInt64>(settings.connections);
+    body["address"] = settings.address.host;
+    body["port"] = settings.address.port;
+    return writeJson(body);
+}
+
+} // namespace
+
+node_link::node_link(asio::io_context &context, node_link_settings settings, std::function<std::size_t()> inFlight)
+    : m_context{context}
+    , m_settings{std::move(settings)}
+    , m_inFlight{std::move(inFlight)}
+    , m_client{context, MaxAdminConnections}
+{ }
+
+void node_link::start()
+{
+    asio::co_spawn(m_context, announceRepeatedly(), asio::detached);
+    asio::co_spawn(m_context, reportRepeatedly(), asio::detached);
+}
+
+asio::awaitable<bool> node_link::drain()
+{
+    m_leaving = true;
+    const bool confirmed = co_await post("/target/drain", "{}");
+    co_return confirmed;
+}
+
+asio::awaitable<void> node_link::announceRepeatedly()
+{
+    asio::steady_timer timer{m_context};
+    while (!m_leaving) {
+        const bool confirmed = co_await post("/target/announce", makeAnnouncement(m_settings));
+        if (confirmed != m_announced) {
+            m_announced = confirmed;
+            logChange(m_settings.service + (confirmed ? " announced to " : " lost its node ") + toText(m_settings.nodeAdmin));
+        }
+        timer.expires_after(confirmed ? ConfirmedPeriod : UnconfirmedPeriod);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
+asio::awaitable<void> node_link::reportRepeatedly()
+{
+    asio::steady_timer timer{m_context};
+    while (!m_leaving) {
+        timer.expires_after(LoadPeriod);
+        co_await timer.async_wait(asio::use_awaitable);
+        Json::Value body{Json::objectValue};
+        body["in_flight"] = static_cast<Json::UInt64>(reportedLoad(monotonicNow()));
+        body["slots"] = static_cast<Json::UInt64>(m_settings.slots);
+        if (m_announced && !m_leaving) {
+            co_await post("/target/load", writeJson(body));
+        }
+    }
+}
+
+asio::awaitable<bool> node_link::post(const char *path, std::string body)
+{
+    http_request request;
+    request.version(11);
+    request.method(boost::beast::http::verb::post);
+    request.target(path);
+    request.set(boost::beast::http::field::content_type, "application/json");
+    request.body() = std::move(body);
+    const auto result = co_await m_client.send(m_settings.nodeAdmin, std::move(request), CallTimeout, nullptr);
+    co_return !result.error && result.response.result_int() / 100 == 2;
+}
+
+std::size_t node_link::reportedLoad(time_point now)
+{
+    m_samples.push_back({now, m_inFlight()});
+    while (m_samples.size() > 1 && m_samples[1].at + m_settings.loadLag <= now) {
+        m_samples.pop_front();
+    }
+    return m_settings.loadLie.value_or(m_samples.front().inFlight);
+}
+
+} // namespace ragwortpin::standins
