--- a/src/standins/support/store_gateway.cpp
+++ b/src/standins/support/store_gateway.cpp
@@ -321,6 +321,15 @@
     throw malformed_call{"a watch is a stream; open it by /v3/watch"};
 }
 
+gateway_answer rejectCall(const char *message)
+{
+    Json::Value answer{Json::objectValue};
+    answer["error"] = message;
+    answer["code"] = InvalidArgument;
+    answer["message"] = message;
+    return {400, writeJson(answer)};
+}
+
 } // namespace
 
 std::optional<store_call_kind> parseCallKind(std::string_view path) noexcept
@@ -338,12 +347,10 @@
 {
     try {
         return {200, writeJson(answerRequest(state, kind, parseJson(body), now))};
-    } catch (const std::exception &error) {
-        Json::Value answer{Json::objectValue};
-        answer["error"] = error.what();
-        answer["code"] = InvalidArgument;
-        answer["message"] = error.what();
-        return {400, writeJson(answer)};
+    } catch (const malformed_call &error) {
+        return rejectCall(error.what());
+    } catch (const Json::Exception &) {
+        return rejectCall("a field has the wrong type; send it as the etcd v3 gateway takes it");
     }
 }
 
