--- /dev/null
+++ b/src/ragwortpin/http/fwd.h
@@ -0,0 +1,15 @@
+#ifndef RAGWORTPIN_HTTP_FWD_H
+#define RAGWORTPIN_HTTP_FWD_H
+
+namespace ragwortpin {
+
+class call_control;
+class http_server;
+class http_client_pool;
+struct http_limits;
+struct endpoint;
+struct exchange_result;
+
+} // namespace ragwortpin
+
+#endif
--- /dev/null
+++ b/src/ragwortpin/http/message.h
@@ -0,0 +1,86 @@
+#ifndef RAGWORTPIN_HTTP_MESSAGE_H
+#define RAGWORTPIN_HTTP_MESSAGE_H
+
+#include "ragwortpin/core/outcome.h"
+#include "ragwortpin/core/time.h"
+#include "ragwortpin/http/fwd.h"
+
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace ragwortpin {
+
+namespace http = boost::beast::http;
+
+/** Whole request in memory, bounded by http_limits. */
+using http_request = http::request<http::string_body>;
+
+/** Whole response in memory, bounded by http_limits. */
+using http_response = http::response<http::string_body>;
+
+/** Header fields of the system itself. All of them are removed from what callers and targets send. */
+namespace field {
+inline constexpr std::string_view Prefix{"ragwortpin-"};
+/** Signed request context between nodes. */
+inline constexpr std::string_view Context{"Ragwortpin-Context"};
+/** Names the in-flight request towards its target, which sends it back with the calls it makes. */
+inline constexpr std::string_view Request{"Ragwortpin-Request"};
+/** Execution outcome: not_run, ran or unknown. */
+inline constexpr std::string_view Outcome{"Ragwortpin-Outcome"};
+/** Token of the refusal kind when the system itself answered. */
+inline constexpr std::string_view Refusal{"Ragwortpin-Refusal"};
+/** Retry allowance that the callee did not use. */
+inline constexpr std::string_view UnusedAllowance{"Ragwortpin-Unused-Allowance"};
+/** Shed level of the callee's instance and of the services behind it. */
+inline constexpr std::string_view ShedLevel{"Ragwortpin-Shed-Level"};
+/** Requests in flight at the callee's target and its concurrency limit. */
+inline constexpr std::string_view Load{"Ragwortpin-Load"};
+} // namespace field
+
+/** Bounds of what a listener or a client accepts. */
+struct http_limits
+{
+    /** Largest header section, in bytes. */
+    std::uint32_t headerBytes{16 * 1024};
+    /** Largest request body, in bytes. */
+    std::uint64_t requestBodyBytes{1024 * 1024};
+    /** Largest response body, in bytes. */
+    std::uint64_t responseBodyBytes{8 * 1024 * 1024};
+    /** Most connections that a listener keeps open. */
+    std::size_t connections{1024};
+    /** Longest wait for the next request on a kept-alive connection, and for a request to arrive whole. */
+    duration idleTimeout{seconds{30}};
+
+    bool operator==(const http_limits &) const = default;
+};
+
+/** TCP address by IP number. */
+struct endpoint
+{
+    std::string address;
+    std::uint16_t port{0};
+
+    bool operator==(const endpoint &) const = default;
+    auto operator<=>(const endpoint &) const = default;
+};
+
+/** Removes the fields that belong to one connection only: Connection, Keep-Alive, TE, Upgrade and those that Connection names. */
+void removeHopByHopFields(http::fields &fields);
+
+/** Removes every field of the system itself. */
+void removeInternalFields(http::fields &fields);
+
+/** Builds the answer to a refused request: status, Ragwortpin-Refusal, Ragwortpin-Outcome, Retry-After and a JSON body with the remedy. */
+[[nodiscard]] http_response makeRefusal(refusal_kind kind, outcome knownOutcome, duration retryAfter = duration::zero());
+
+/** Builds a response with the given status, content type and body. */
+[[nodiscard]] http_response makeResponse(http::status status, std::string_view contentType, std::string body);
+
+} // namespace ragwortpin
+
+#endif
