Read YAML mappings with every problem collected

Cause: settings and configuration files need one reader that names file, line, object and remedy, and that reports all faults at once.

Ruled out: reading YAML::Node directly, which throws at the first fault, takes yes/on as booleans, keeps duplicate fields silently and expands aliases.

--- a/src/ragwortpin/config/fwd.h
+++ b/src/ragwortpin/config/fwd.h
@@ -10,6 +10,8 @@
 struct route;
 struct availability_zone;
 struct configuration;
+struct config_problem;
+class yaml_reader;
 
 } // namespace ragwortpin
 
