--- a/src/ragwortpin/admission/admission.h
+++ b/src/ragwortpin/admission/admission.h
@@ -49,6 +49,17 @@
     Refused,
 };
 
+/** Requests whose state changed when a slot came free or time passed. */
+struct admission_changes
+{
+    /** Queued requests that have a slot now. */
+    std::vector<request_id> started;
+    /** Queued requests that can no longer finish in time; refused as deadline_exceeded, were not run. */
+    std::vector<request_id> expired;
+
+    bool operator==(const admission_changes &) const = default;
+};
+
 /** Answer to an offer. */
 struct admission_decision
 {
@@ -57,21 +68,12 @@
     refusal_kind refusal{refusal_kind::Overloaded};
     /** Requests that left the queue to make room; each is refused as overloaded and was not run. */
     std::vector<request_id> displaced;
+    /** Other requests whose state changed, as time had passed. */
+    admission_changes changes;
 
     bool operator==(const admission_decision &) const = default;
 };
 
-/** Requests whose state changed when a slot came free or time passed. */
-struct admission_changes
-{
-    /** Queued requests that have a slot now. */
-    std::vector<request_id> started;
-    /** Queued requests that can no longer finish in time; refused as deadline_exceeded, were not run. */
-    std::vector<request_id> expired;
-
-    bool operator==(const admission_changes &) const = default;
-};
-
 /** How a started request ended. */
 struct completion
 {
@@ -134,6 +136,11 @@
     std::string workspace;
     /** Work had so far over weight, in microseconds, on the virtual clock of the rank. */
     double virtualTime{0.0};
+    /** Work of its queued requests, in microseconds. */
+    double queuedWork{0.0};
+    std::uint32_t queued{0};
+    /** Smoothed time of its requests in the slot, in microseconds; 0 before the first completion. */
+    double averageWork{0.0};
 
     bool operator==(const work_account &) const = default;
 };
--- a/src/ragwortpin/admission/concurrency_limit.h
+++ b/src/ragwortpin/admission/concurrency_limit.h
@@ -18,7 +18,7 @@
     /** Shortest window between two changes of the limit. */
     duration window{milliseconds{100}};
     /** Fewest completions in a window that counts. */
-    std::uint32_t minimumSamples{8};
+    std::uint32_t minimumSamples{30};
     /** Service time over its floor, from which on a smaller limit is tried. */
     double tolerance{1.6};
     /** Factor of one cut. */
--- /dev/null
+++ b/src/ragwortpin/retries/retries.cpp
@@ -0,0 +1,112 @@
+#include "ragwortpin/retries/retries.h"
+
+#include <algorithm>
+
+namespace ragwortpin {
+
+namespace internal {
+
+namespace {
+
+/** Returns whether another instance may decide differently from the one that refused. */
+[[nodiscard]] constexpr bool mayDifferElsewhere(refusal_kind refusal) noexcept
+{
+    switch (refusal) {
+    case refusal_kind::Overloaded:
+    case refusal_kind::Draining:
+    case refusal_kind::NotReady:
+    case refusal_kind::AnswerLost:
+        return true;
+    default:
+        return false;
+    }
+}
+
+[[nodiscard]] constexpr bool outcomeForbids(const failed_attempt &attempt) noexcept
+{
+    if (attempt.result == outcome::NotRun) {
+        return false;
+    }
+    return attempt.result == outcome::Ran || attempt.once || !attempt.retryable;
+}
+
+[[nodiscard]] constexpr retry_verdict checkAttempt(const failed_attempt &attempt) noexcept
+{
+    if (outcomeForbids(attempt)) {
+        return retry_verdict::OutcomeForbids;
+    }
+    if (!attempt.failedAtCallee) {
+        return retry_verdict::NotNextToFailure;
+    }
+    if (attempt.refusal && !mayDifferElsewhere(*attempt.refusal)) {
+        return retry_verdict::RefusalIsFinal;
+    }
+    if (attempt.refusal == refusal_kind::Overloaded && attempt.earlierOverloads > 0) {
+        return retry_verdict::OverloadedTwice;
+    }
+    return attempt.remaining > attempt.expected ? retry_verdict::Retry : retry_verdict::DeadlineTooNear;
+}
+
+} // namespace
+
+} // namespace internal
+
+unsigned grantToCallee(retry_escrow &escrow) noexcept
+{
+    return grantToCallee(escrow, escrow.available);
+}
+
+unsigned grantToCallee(retry_escrow &escrow, unsigned most) noexcept
+{
+    const unsigned grant{std::min(most, escrow.available)};
+    escrow.available -= grant;
+    escrow.granted += grant;
+    return grant;
+}
+
+void settleGrant(retry_escrow &escrow, unsigned grant, unsigned unused) noexcept
+{
+    const unsigned settled{std::min(grant, escrow.granted)};
+    const unsigned returned{std::min(unused, settled)};
+    escrow.granted -= settled;
+    escrow.available += returned;
+    escrow.spent += settled - returned;
+}
+
+void loseGrant(retry_escrow &escrow, unsigned grant) noexcept
+{
+    settleGrant(escrow, grant, 0);
+}
+
+bool spendRetry(retry_escrow &escrow) noexcept
+{
+    if (escrow.available == 0) {
+        return false;
+    }
+    escrow.available -= 1;
+    escrow.spent += 1;
+    return true;
+}
+
+void observeFirstAttempt(retry_budget &budget) noexcept
+{
+    budget.tokens = std::min(budget.capacity, budget.tokens + budget.ratio);
+}
+
+retry_verdict mayRetry(const failed_attempt &attempt, retry_escrow &escrow, retry_budget &budget) noexcept
+{
+    const retry_verdict verdict{internal::checkAttempt(attempt)};
+    if (verdict != retry_verdict::Retry) {
+        return verdict;
+    }
+    if (budget.tokens < 1.0) {
+        return retry_verdict::BudgetSpent;
+    }
+    if (!spendRetry(escrow)) {
+        return retry_verdict::AllowanceSpent;
+    }
+    budget.tokens -= 1.0;
+    return retry_verdict::Retry;
+}
+
+} // namespace ragwortpin
