Add the data path: callers, dispatch, forwarding, target, egress, settings

Cause: the whole path has to exist before decisions can be measured on it.

Chosen: the first hop establishes identity and route once, and every later hop takes them from a signed context bound to the receiving instance. The node beside the target has the last word on admission. A target's own calls take their identity from the in-flight request that they name by an unguessable token; the token dies with the request.

Ruled out: a key lookup at every hop (keys would travel), identity by the target's own headers (a target could forge them).

--- /dev/null
+++ b/src/ragwortpin/dispatch/call.cpp
@@ -0,0 +1,93 @@
+#include "ragwortpin/dispatch/call.h"
+
+#include <charconv>
+#include <string_view>
+#include <system_error>
+
+namespace ragwortpin {
+
+namespace {
+
+std::string_view fieldValue(const http_response &response, std::string_view name)
+{
+    const auto value = response[toBeast(name)];
+    return {value.data(), value.size()};
+}
+
+template<typename Number>
+Number parseNumber(std::string_view text, Number fallback) noexcept
+{
+    Number value{};
+    const auto *end = text.data() + text.size();
+    const auto result = std::from_chars(text.data(), end, value);
+    return result.ec == std::errc{} && result.ptr == end ? value : fallback;
+}
+
+std::string formatLevel(const shed_level &level)
+{
+    return std::to_string(level.rank) + ';' + std::to_string(level.probability);
+}
+
+shed_level parseLevel(std::string_view text) noexcept
+{
+    const auto separator = text.find(';');
+    if (separator == std::string_view::npos) {
+        return {};
+    }
+    const auto rank = parseNumber(text.substr(0, separator), NoShedRank);
+    const auto probability = parseNumber(text.substr(separator + 1), 1.0);
+    if (!(probability >= 0.0 && probability <= 1.0)) {
+        return {};
+    }
+    return {rank, probability};
+}
+
+} // namespace
+
+call_answer refuseCall(refusal_kind kind, outcome knownOutcome, unsigned unusedAllowance, duration retryAfter)
+{
+    call_answer answer;
+    answer.response = makeRefusal(kind, knownOutcome, retryAfter);
+    answer.result = knownOutcome;
+    answer.refusal = kind;
+    answer.unusedAllowance = unusedAllowance;
+    return answer;
+}
+
+void writeAnswerFields(call_answer &answer)
+{
+    auto &response = answer.response;
+    response.set(toBeast(field::Outcome), toBeast(toToken(answer.result)));
+    if (answer.refusal) {
+        response.set(toBeast(field::Refusal), toBeast(describe(*answer.refusal).token));
+    }
+    response.set(toBeast(field::UnusedAllowance), std::to_string(answer.unusedAllowance));
+    response.set(toBeast(field::ShedLevel), formatLevel(answer.level));
+    response.set(toBeast(field::Load), std::to_string(answer.load));
+}
+
+call_answer readAnswerFields(http_response response)
+{
+    call_answer answer;
+    answer.result = parseOutcome(fieldValue(response, field::Outcome));
+    answer.refusal = parseRefusal(fieldValue(response, field::Refusal));
+    answer.unusedAllowance = parseNumber(fieldValue(response, field::UnusedAllowance), 0U);
+    answer.level = parseLevel(fieldValue(response, field::ShedLevel));
+    answer.load = parseNumber(fieldValue(response, field::Load), 0.0);
+    removeInternalFields(response);
+    answer.response = std::move(response);
+    return answer;
+}
+
+http_response toCallerResponse(call_answer answer)
+{
+    auto response = std::move(answer.response);
+    removeInternalFields(response);
+    response.set(toBeast(field::Outcome), toBeast(toToken(answer.result)));
+    if (answer.refusal) {
+        response.set(toBeast(field::Refusal), toBeast(describe(*answer.refusal).token));
+    }
+    return response;
+}
+
+} // namespace ragwortpin
--- /dev/null
+++ b/src/ragwortpin/dispatch/dispatcher.cpp
@@ -0,0 +1,207 @@
+#include "ragwortpin/dispatch/dispatcher.h"
+
+#include "ragwortpin/deadlines/deadlines.h"
+
+#include <algorithm>
+
+namespace ragwortpin {
+
+namespace {
+
+constexpr duration NoInstancePause{seconds{1}};
+constexpr duration OverloadPause{seconds{1}};
+
+attempt_kind classify(const call_answer &answer, const inbound_call &call)
+{
+    if (call.control->cancelled()) {
+        return attempt_kind::Cancelled;
+    }
+    if (!answer.refusal) {
+        constexpr unsigned FirstServerError{500};
+        constexpr unsigned ServiceUnavailable{503};
+        const auto status = answer.response.result_int();
+        if (status == ServiceUnavailable) {
+            return attempt_kind::Overloaded;
+        }
+        return status >= FirstServerError ? attempt_kind::Failed : attempt_kind::Answered;
+    }
+    switch (*answer.refusal) {
+    case refusal_kind::Draining:
+    case refusal_kind::NotReady:
+        return attempt_kind::Leaving;
+    case refusal_kind::Overloaded:
+        return attempt_kind::Overloaded;
+    case refusal_kind::DeadlineExceeded:
+        return answer.result == outcome::NotRun ? attempt_kind::Overloaded : attempt_kind::TimedOut;
+    case refusal_kind::Cancelled:
+        return attempt_kind::Cancelled;
+    default:
+        return attempt_kind::Failed;
+    }
+}
+
+call_answer toAnswer(exchange_result result, const inbound_call &call, unsigned grant)
+{
+    if (result.progress == exchange_progress::Answered) {
+        return readAnswerFields(std::move(*result.response));
+    }
+    if (result.progress == exchange_progress::NotSent) {
+        const auto kind = call.control->cancelled() ? refusal_kind::Cancelled : refusal_kind::NoInstance;
+        return refuseCall(kind, outcome::NotRun, grant, NoInstancePause);
+    }
+    const bool late = monotonicNow() >= call.deadline;
+    return refuseCall(late ? refusal_kind::DeadlineExceeded : refusal_kind::AnswerLost, outcome::Unknown, 0);
+}
+
+std::vector<std::size_t> indicesOf(const routing_state &routing, const std::vector<std::string> &names)
+{
+    std::vector<std::size_t> indices;
+    for (const auto &name : names) {
+        if (const auto index = findInstance(routing, name)) {
+            indices.push_back(*index);
+        }
+    }
+    return indices;
+}
+
+} // namespace
+
+dispatcher::dispatcher(dispatcher_identity self,
+                       http_client_pool &client,
+                       instance_directory &directory,
+                       metrics_registry &metrics,
+                       local_runner runLocally,
+                       std::uint64_t seed)
+    : m_self{std::move(self)}
+    , m_client{client}
+    , m_directory{directory}
+    , m_runLocally{std::move(runLocally)}
+    , m_random{seed}
+    , m_attempts{metrics.counterFor("ragwortpin_attempts_total")}
+    , m_retries{metrics.counterFor("ragwortpin_retries_total")}
+    , m_shedEarly{metrics.counterFor("ragwortpin_shed_at_first_hop_total")}
+{ }
+
+bool dispatcher::admitNewCall(inbound_call &call)
+{
+    const auto &context = call.context;
+    const double drawn{std::uniform_real_distribution<double>{0.0, 1.0}(m_random)};
+    const auto decision = admitAtFirstHop(m_shedMemory, context.route, context.workspace, context.rank, drawn, monotonicNow());
+    call.context.admitProbability = decision.probability;
+    if (!decision.admitted) {
+        m_shedEarly.add();
+    }
+    return decision.admitted;
+}
+
+boost::asio::awaitable<call_answer> dispatcher::dispatch(inbound_call call)
+{
+    auto escrow = makeEscrow(call.context.retryAllowance);
+    auto *service = m_directory.find(call.definition.service);
+    if (service == nullptr) {
+        co_return refuseCall(refusal_kind::NoInstance, outcome::NotRun, unusedAllowance(escrow), NoInstancePause);
+    }
+    observeFirstAttempt(service->budget);
+    std::vector<std::string> tried;
+    unsigned overloads{0};
+    std::optional<call_answer> last;
+    for (;;) {
+        const auto instance = choose(*service, tried);
+        if (!instance) {
+            if (last) {
+                break;
+            }
+            co_return refuseCall(refusal_kind::NoInstance, outcome::NotRun, unusedAllowance(escrow), NoInstancePause);
+        }
+        tried.push_back(instance->name);
+        const auto grant = grantToCallee(escrow);
+        const auto started = monotonicNow();
+        beginAttempt(service->routing, instance->index, started);
+        m_attempts.add();
+        last = co_await attempt(call, *instance, grant);
+        const auto finished = monotonicNow();
+        observe(*service, *instance, *last, call, finished - started);
+        if (last->result == outcome::Unknown) {
+            loseGrant(escrow, grant);
+        } else {
+            settleGrant(escrow, grant, last->unusedAllowance);
+        }
+        if (!last->refusal || call.control->cancelled()) {
+            break;
+        }
+        overloads += classify(*last, call) == attempt_kind::Overloaded ? 1 : 0;
+        const failed_attempt failure{.result = last->result,
+                                     .refusal = last->refusal,
+                                     .failedAtCallee = true,
+                                     .retryable = call.definition.retryable,
+                                     .once = call.definition.once,
+                                     .earlierOverloads = overloads > 0 ? overloads - 1 : 0,
+                                     .remaining = call.deadline - finished,
+                                     .expected = duration::zero()};
+        if (mayRetry(failure, escrow, service->budget) != retry_verdict::Retry) {
+            break;
+        }
+        m_retries.add();
+    }
+    last->unusedAllowance = unusedAllowance(escrow);
+    co_return std::move(*last);
+}
+
+void dispatcher::forgetOld(time_point now)
+{
+    forgetRelaxed(m_shedMemory, now);
+}
+
+std::optional<dispatcher::attempt_target> dispatcher::choose(service_directory &service, const std::vector<std::string> &tried)
+{
+    const auto triedIndices = indicesOf(service.routing, tried);
+    const auto index = chooseInstance(service.routing, triedIndices, monotonicNow(), m_random);
+    if (!index) {
+        return std::nullopt;
+    }
+    return attempt_target{*index, service.routing.instances[*index].summary.name, service.addresses[*index]};
+}
+
+boost::asio::awaitable<call_answer> dispatcher::attempt(inbound_call call, attempt_target instance, unsigned grant)
+{
+    call.context.retryAllowance = grant;
+    if (instance.name == m_self.instance) {
+        co_return co_await m_runLocally(std::move(call));
+    }
+    co_return co_await forward(std::move(call), std::move(instance), grant);
+}
+
+boost::asio::awaitable<call_answer> dispatcher::forward(inbound_call call, attempt_target instance, unsigned grant)
+{
+    const auto now = monotonicNow();
+    call.context.remaining = remainingForCallee(call.deadline, now);
+    if (call.context.remaining <= duration::zero()) {
+        co_return refuseCall(refusal_kind::DeadlineExceeded, outcome::NotRun, grant);
+    }
+    auto request = std::move(call.request);
+    request.set(toBeast(field::Context), sealContext(call.context, instance.name, wallClockNow(), m_self.keys));
+    request.version(11);
+    request.keep_alive(true);
+    request.prepare_payload();
+    auto result = co_await m_client.exchange(instance.address, std::move(request), call.deadline, call.control);
+    co_return toAnswer(std::move(result), call, grant);
+}
+
+void dispatcher::observe(
+    service_directory &service, const attempt_target &instance, const call_answer &answer, const inbound_call &call, duration latency)
+{
+    const auto now = monotonicNow();
+    const auto index = findInstance(service.routing, instance.name);
+    const bool reported = answer.result != outcome::Unknown;
+    if (index) {
+        const attempt_result result{.kind = classify(answer, call),
+                                    .latency = latency,
+                                    .report = reported ? std::optional<load_report>{load_report{answer.load}} : std::nullopt};
+        observeAttempt(service.routing, *index, result, now);
+    }
+    if (reported) {
+        observeShedLevel(m_shedMemory, call.context.route, call.context.workspace, answer.level, now);
+    }
+}
+
+} // namespace ragwortpin
--- a/src/ragwortpin/http/message.cpp
+++ b/src/ragwortpin/http/message.cpp
@@ -14,11 +14,6 @@
 
 constexpr unsigned HttpVersion{11};
 
-boost::beast::string_view toBeast(std::string_view text) noexcept
-{
-    return {text.data(), text.size()};
-}
-
 std::string jsonBody(const refusal_description &description, outcome knownOutcome)
 {
     std::string body{"{\"refusal\":\""};
--- a/src/ragwortpin/http/message.h
+++ b/src/ragwortpin/http/message.h
@@ -30,6 +30,8 @@
 inline constexpr std::string_view Context{"Ragwortpin-Context"};
 /** Names the in-flight request towards its target, which sends it back with the calls it makes. */
 inline constexpr std::string_view Request{"Ragwortpin-Request"};
+/** Milliseconds that a target has for its whole answer. */
+inline constexpr std::string_view Deadline{"Ragwortpin-Deadline-Ms"};
 /** Execution outcome: not_run, ran or unknown. */
 inline constexpr std::string_view Outcome{"Ragwortpin-Outcome"};
 /** Token of the refusal kind when the system itself answered. */
@@ -78,6 +80,18 @@
 /** Builds the answer to a refused request: status, Ragwortpin-Refusal, Ragwortpin-Outcome, Retry-After and a JSON body with the remedy. */
 [[nodiscard]] http_response makeRefusal(refusal_kind kind, outcome knownOutcome, duration retryAfter = duration::zero());
 
+/** Views a text as the HTTP library's string view. */
+[[nodiscard]] inline boost::beast::string_view toBeast(std::string_view text) noexcept
+{
+    return {text.data(), text.size()};
+}
+
+/** Views a text of the HTTP library as a standard string view. */
+[[nodiscard]] inline std::string_view toStd(boost::beast::string_view text) noexcept
+{
+    return {text.data(), text.size()};
+}
+
 /** Builds a response with the given status, content type and body. */
 [[nodiscard]] http_response makeResponse(http::status status, std::string_view contentType, std::string body);
 
--- a/src/ragwortpin/identity/context.cpp
+++ b/src/ragwortpin/identity/context.cpp
@@ -21,13 +21,14 @@
     unsigned rank{0};
     unsigned depth{0};
     unsigned retryAllowance{0};
+    double admitProbability{1.0};
     std::int64_t remaining{0};
     std::string traceId;
     std::string spanId;
     bool sampled{false};
 
     // NOLINTNEXTLINE(readability-identifier-naming): the name of the library's macro for members to encode.
-    MSGPACK_DEFINE(audience, signedAt, workspace, route, rank, depth, retryAllowance, remaining, traceId, spanId, sampled)
+    MSGPACK_DEFINE(audience, signedAt, workspace, route, rank, depth, retryAllowance, admitProbability, remaining, traceId, spanId, sampled)
 };
 
 } // namespace internal
@@ -51,6 +52,7 @@
             .rank = sealed.rank,
             .depth = sealed.depth,
             .retryAllowance = sealed.retryAllowance,
+            .admitProbability = sealed.admitProbability,
             .remaining = microseconds{sealed.remaining},
             .trace = {sealed.traceId, sealed.spanId, sealed.sampled}};
 }
@@ -77,6 +79,7 @@
                                           .rank = context.rank,
                                           .depth = context.depth,
                                           .retryAllowance = context.retryAllowance,
+                                          .admitProbability = context.admitProbability,
                                           .remaining = context.remaining.count(),
                                           .traceId = context.trace.traceId,
                                           .spanId = context.trace.spanId,
--- a/src/ragwortpin/identity/context.h
+++ b/src/ragwortpin/identity/context.h
@@ -38,6 +38,8 @@
     unsigned depth{0};
     /** Retries that this call and everything below it may still spend. */
     unsigned retryAllowance{0};
+    /** Probability with which the first hop let the request pass; 1 when it shed nothing. */
+    double admitProbability{1.0};
     /** Time left for the whole answer when the context was signed. */
     microseconds remaining{0};
     trace_context trace;
--- a/src/ragwortpin/identity/credentials.cpp
+++ b/src/ragwortpin/identity/credentials.cpp
@@ -19,11 +19,6 @@
 constexpr std::size_t SpanIdDigits{16};
 constexpr std::size_t TraceparentLength{55};
 
-std::string_view toStd(boost::beast::string_view text) noexcept
-{
-    return {text.data(), text.size()};
-}
-
 std::string_view bearerToken(std::string_view value) noexcept
 {
     const auto scheme = value.substr(0, BearerScheme.size());
--- /dev/null
+++ b/src/ragwortpin/node/settings.cpp
@@ -0,0 +1,254 @@
+#include "ragwortpin/node/settings.h"
+
+#include "ragwortpin/config/yaml_reader.h"
+
+#include <boost/asio/ip/address.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <sstream>
+
+namespace ragwortpin {
+
+namespace {
+
+constexpr std::size_t ShortestSecret{32};
+constexpr std::size_t MostSecrets{4};
+constexpr milliseconds LongestSetting{std::chrono::hours{48}};
+constexpr std::size_t LongestName{64};
+
+bool isInstanceName(const std::string &name) noexcept
+{
+    const auto allowed = [](char character) {
+        return (character >= 'a' && character <= 'z') || (character >= '0' && character <= '9') || character == '-';
+    };
+    return !name.empty() && name.size() <= LongestName && std::all_of(name.begin(), name.end(), allowed);
+}
+
+std::string readName(yaml_reader &reader, std::string_view field)
+{
+    auto name = reader.readString(field);
+    if (!name.empty() && !isInstanceName(name)) {
+        reader.report(field, "'" + name + "' is not a valid name", "use 1 to 64 lower-case letters, digits and '-'");
+    }
+    return name;
+}
+
+endpoint readEndpoint(yaml_reader &reader, std::string_view field)
+{
+    const auto text = reader.readString(field);
+    const auto parsed = parseEndpoint(text);
+    if (!parsed && !text.empty()) {
+        reader.report(field, "'" + text + "' is not an address", "write IP:PORT with an IP number and a port from 1 to 65535");
+    }
+    return parsed.value_or(endpoint{});
+}
+
+std::vector<endpoint> readEndpoints(yaml_reader &reader, std::string_view field)
+{
+    std::vector<endpoint> endpoints;
+    for (const auto &text : reader.readStrings(field)) {
+        const auto parsed = parseEndpoint(text);
+        if (parsed) {
+            endpoints.push_back(*parsed);
+        } else {
+            reader.report(field, "'" + text + "' is not an address", "write IP:PORT with an IP number and a port from 1 to 65535");
+        }
+    }
+    return endpoints;
+}
+
+void reportClashes(yaml_reader &reader, const node_addresses &addresses)
+{
+    struct named_endpoint
+    {
+        std::string_view field;
+        const endpoint &value;
+    };
+    const std::array listeners{named_endpoint{"callers", addresses.callers},
+                               named_endpoint{"egress", addresses.egress},
+                               named_endpoint{"peers", addresses.peers},
+                               named_endpoint{"admin", addresses.admin}};
+    for (std::size_t second{1}; second < listeners.size(); ++second) {
+        for (std::size_t first{0}; first < second; ++first) {
+            const bool clash = listeners[first].value == listeners[second].value && listeners[first].value.port != 0;
+            if (clash) {
+                reader.report(listeners[second].field,
+                              "the address is also that of '" + std::string{listeners[first].field} + "'",
+                              "give each listener a port of its own");
+            }
+        }
+    }
+}
+
+void readAddresses(yaml_reader &reader, node_settings &settings)
+{
+    auto section = reader.readMapping("addresses");
+    if (!section) {
+        reader.report("addresses", "the field is missing", "add the addresses callers, egress, peers, gossip and admin");
+        return;
+    }
+    auto &addresses = settings.addresses;
+    addresses.callers = readEndpoint(*section, "callers");
+    addresses.egress = readEndpoint(*section, "egress");
+    addresses.peers = readEndpoint(*section, "peers");
+    addresses.gossip = readEndpoint(*section, "gossip");
+    addresses.admin = readEndpoint(*section, "admin");
+    reportClashes(*section, addresses);
+    section->finish();
+}
+
+void readPlatform(yaml_reader &reader, node_settings &settings)
+{
+    auto section = reader.readMapping("platform");
+    if (!section) {
+        reader.report("platform", "the field is missing", "add the endpoints of the platform's key-value service");
+        return;
+    }
+    settings.platform = readEndpoints(*section, "endpoints");
+    if (settings.platform.empty()) {
+        section->report("endpoints", "there is no endpoint", "name at least one IP:PORT of the platform's key-value service");
+    }
+    settings.platformTimeout = section->readMilliseconds("timeout_ms", {milliseconds{10}, milliseconds{10'000}}, milliseconds{500});
+    section->finish();
+}
+
+void readLimits(yaml_reader &reader, http_limits &limits)
+{
+    auto section = reader.readMapping("limits");
+    if (!section) {
+        return;
+    }
+    constexpr std::uint64_t Kibibyte{1024};
+    constexpr std::uint64_t Mebibyte{1024 * Kibibyte};
+    limits.headerBytes = static_cast<std::uint32_t>(section->readInteger("header_bytes", {Kibibyte, 256 * Kibibyte}, limits.headerBytes));
+    limits.requestBodyBytes = section->readInteger("request_body_bytes", {0, 64 * Mebibyte}, limits.requestBodyBytes);
+    limits.responseBodyBytes = section->readInteger("response_body_bytes", {Kibibyte, 256 * Mebibyte}, limits.responseBodyBytes);
+    limits.connections = section->readInteger("connections", {1, 65536}, limits.connections);
+    section->finish();
+}
+
+void readTelemetry(yaml_reader &reader, node_settings &settings)
+{
+    auto section = reader.readMapping("telemetry");
+    if (!section) {
+        return;
+    }
+    if (section->has("collector")) {
+        settings.collector = readEndpoint(*section, "collector");
+    }
+    settings.sampleRatio = section->readNumber("sample_ratio", {0.0, 1.0}, 0.0);
+    section->finish();
+}
+
+void readShutdown(yaml_reader &reader, shutdown_settings &shutdown)
+{
+    auto section = reader.readMapping("shutdown");
+    if (!section) {
+        return;
+    }
+    shutdown.announce = section->readMilliseconds("announce_ms", {milliseconds{0}, milliseconds{60'000}}, milliseconds{2'000});
+    shutdown.finish = section->readMilliseconds("finish_ms", {milliseconds{0}, milliseconds{600'000}}, milliseconds{30'000});
+    section->finish();
+}
+
+void readRates(yaml_reader &reader, node_settings &settings)
+{
+    auto section = reader.readMapping("rates");
+    if (!section) {
+        return;
+    }
+    settings.rateSlots = static_cast<unsigned>(section->readInteger("slots", {1, 1024}, settings.rateSlots));
+    settings.rateSlotLapse = section->readMilliseconds("slot_lapse_ms", {milliseconds{10'000}, LongestSetting}, std::chrono::hours{1});
+    section->finish();
+}
+
+log_level readLogLevel(yaml_reader &reader)
+{
+    const auto text = reader.readString("log_level", "info");
+    if (text == "info") {
+        return log_level::Info;
+    }
+    if (text == "warning") {
+        return log_level::Warning;
+    }
+    if (text != "error") {
+        reader.report("log_level", "'" + text + "' is not a log level", "use info, warning or error");
+    }
+    return log_level::Error;
+}
+
+} // namespace
+
+node_settings_result parseNodeSettings(const std::string &file, const std::string &text)
+{
+    node_settings_result result;
+    const auto document = loadYaml(file, text, result.problems);
+    if (!document) {
+        return result;
+    }
+    yaml_reader reader{file, "settings", *document, result.problems};
+    auto &settings = result.settings;
+    settings.instance = readName(reader, "instance");
+    settings.availabilityZone = readName(reader, "availability_zone");
+    readAddresses(reader, settings);
+    readPlatform(reader, settings);
+    settings.seeds = readEndpoints(reader, "seeds");
+    settings.secretFile = reader.readString("secret_file");
+    readLimits(reader, settings.limits);
+    readTelemetry(reader, settings);
+    readShutdown(reader, settings.shutdown);
+    readRates(reader, settings);
+    settings.logLevel = readLogLevel(reader);
+    reader.finish();
+    return result;
+}
+
+signing_keys_result parseSigningKeys(const std::string &text)
+{
+    signing_keys_result result;
+    std::istringstream lines{text};
+    std::string line;
+    while (std::getline(lines, line)) {
+        if (line.empty()) {
+            continue;
+        }
+        if (line.size() < ShortestSecret) {
+            result.problem = "a secret is shorter than 32 characters; create one with 'openssl rand -hex 32'";
+            return result;
+        }
+        result.keys.secrets.push_back(line);
+    }
+    if (result.keys.secrets.empty()) {
+        result.problem = "there is no secret; write one line with the output of 'openssl rand -hex 32'";
+    }
+    if (result.keys.secrets.size() > MostSecrets) {
+        result.problem = "there are more than 4 secrets; remove those that are no longer used";
+    }
+    return result;
+}
+
+std::optional<endpoint> parseEndpoint(const std::string &text)
+{
+    const auto separator = text.rfind(':');
+    if (separator == std::string::npos) {
+        return std::nullopt;
+    }
+    auto host = text.substr(0, separator);
+    if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+        host = host.substr(1, host.size() - 2);
+    }
+    boost::system::error_code error;
+    boost::asio::ip::make_address(host, error);
+    std::uint16_t port{0};
+    const auto *first = text.data() + separator + 1;
+    const auto *last = text.data() + text.size();
+    const auto parsed = std::from_chars(first, last, port);
+    if (error || parsed.ec != std::errc{} || parsed.ptr != last || port == 0) {
+        return std::nullopt;
+    }
+    return endpoint{host, port};
+}
+
+} // namespace ragwortpin
--- /dev/null
+++ b/src/ragwortpin/targets/target_gateway.cpp
@@ -0,0 +1,237 @@
+#include "ragwortpin/targets/target_gateway.h"
+
+#include "ragwortpin/deadlines/deadlines.h"
+#include "ragwortpin/identity/credentials.h"
+
+#include <algorithm>
+
+namespace ragwortpin {
+
+namespace {
+
+bool isOverloadStatus(unsigned status) noexcept
+{
+    constexpr unsigned TooManyRequests{429};
+    constexpr unsigned ServiceUnavailable{503};
+    return status == TooManyRequests || status == ServiceUnavailable;
+}
+
+long toWholeMilliseconds(duration span) noexcept
+{
+    return std::max(1L, static_cast<long>(std::chrono::duration_cast<milliseconds>(span).count()));
+}
+
+http_request toTargetRequest(inbound_call &call, const std::string &token, time_point now)
+{
+    auto request = std::move(call.request);
+    removeInternalFields(request);
+    removeHopByHopFields(request);
+    request.set(toBeast(field::Request), token);
+    request.set(toBeast(field::Deadline), std::to_string(toWholeMilliseconds(remainingForCallee(call.deadline, now))));
+    request.set("traceparent", formatTraceparent(call.context.trace));
+    request.version(11);
+    request.keep_alive(true);
+    request.prepare_payload();
+    return request;
+}
+
+} // namespace
+
+target_gateway::target_gateway(boost::asio::io_context &context, http_client_pool &client, metrics_registry &metrics, span_sink spans)
+    : m_context{context}
+    , m_client{client}
+    , m_spans{std::move(spans)}
+    , m_started{metrics.counterFor("ragwortpin_target_requests_total{outcome=\"ran\"}")}
+    , m_notRun{metrics.counterFor("ragwortpin_target_requests_total{outcome=\"not_run\"}")}
+    , m_unknown{metrics.counterFor("ragwortpin_target_requests_total{outcome=\"unknown\"}")}
+    , m_queueTime{metrics.distributionFor("ragwortpin_target_queue_seconds")}
+    , m_targetTime{metrics.distributionFor("ragwortpin_target_answer_seconds")}
+{ }
+
+void target_gateway::announce(const target_announcement &announcement, time_point now)
+{
+    const bool restarted = !m_announcement || m_announcement->address != announcement.address;
+    if (!m_admission) {
+        m_admission = makeAdmission({}, announcement.slots, announcement.connections, true, now);
+    } else if (restarted || m_announcement->slots != announcement.slots || m_announcement->connections != announcement.connections) {
+        apply(setCapacity(*m_admission, announcement.slots, announcement.connections, now));
+    }
+    m_announcement = announcement;
+}
+
+boost::asio::awaitable<call_answer> target_gateway::run(inbound_call call, double weight)
+{
+    if (m_draining) {
+        co_return refuse(refusal_kind::Draining, call);
+    }
+    if (!m_admission || m_announcement->service != call.definition.service) {
+        co_return refuse(refusal_kind::NotReady, call);
+    }
+    const auto id = ++m_lastId;
+    const auto arrived = monotonicNow();
+    const admission_request offered{.id = id,
+                                    .rank = call.context.rank,
+                                    .workspace = call.context.workspace,
+                                    .weight = weight,
+                                    .depth = call.context.depth,
+                                    .deadline = call.deadline,
+                                    .expectedWork = duration::zero(),
+                                    .admitProbability = call.context.admitProbability};
+    const auto decision = offer(*m_admission, offered, arrived);
+    for (const auto displaced : decision.displaced) {
+        settle(displaced, slot_state::Displaced);
+    }
+    if (decision.verdict == admission_verdict::Refused) {
+        co_return refuse(decision.refusal, call);
+    }
+    if (decision.verdict == admission_verdict::Queued) {
+        const auto state = co_await waitForSlot(id, call.control);
+        if (state == slot_state::Cancelled) {
+            co_return refuse(refusal_kind::Cancelled, call);
+        }
+        if (state != slot_state::Granted) {
+            co_return refuse(state == slot_state::Expired ? refusal_kind::DeadlineExceeded : refusal_kind::Overloaded, call);
+        }
+    }
+    m_queueTime.record(monotonicNow() - arrived);
+    co_return co_await exchangeWithTarget(call, id);
+}
+
+void target_gateway::expireQueued(time_point now)
+{
+    if (m_admission) {
+        apply(expire(*m_admission, now));
+    }
+}
+
+boost::asio::awaitable<target_gateway::slot_state> target_gateway::waitForSlot(request_id id, std::shared_ptr<call_control> control)
+{
+    auto waiter = std::make_shared<slot_waiter>(m_context);
+    m_waiters.emplace(id, waiter);
+    control->onCancel([this, id] {
+        apply(cancel(*m_admission, id, monotonicNow()));
+        settle(id, slot_state::Cancelled);
+    });
+    while (waiter->state == slot_state::Waiting) {
+        co_await waiter->changed.wait();
+    }
+    control->onCancel(nullptr);
+    co_return waiter->state;
+}
+
+boost::asio::awaitable<call_answer> target_gateway::exchangeWithTarget(inbound_call &call, request_id id)
+{
+    const auto started = monotonicNow();
+    const auto startedWall = wallClockNow();
+    const auto parentSpanId = call.context.trace.spanId;
+    call.context.trace = makeChildSpan(call.context.trace);
+    auto request = std::make_shared<in_flight_request>();
+    request->context = call.context;
+    request->deadline = call.deadline;
+    request->escrow = makeEscrow(call.context.retryAllowance);
+    const auto token = m_inFlight.add(request);
+    const auto address = m_announcement->address;
+    auto message = toTargetRequest(call, token, started);
+    auto result = co_await m_client.exchange(address, std::move(message), call.deadline, call.control);
+    m_inFlight.remove(token);
+    if (request->activeCalls > 0) {
+        request->downstreamTime += monotonicNow() - request->waitingSince;
+    }
+    cancelCalls(*request);
+    release(id, *request, result, call.control->cancelled());
+    m_targetTime.record(monotonicNow() - started);
+    auto answer = toAnswer(std::move(result), call, *request);
+    if (call.context.trace.sampled) {
+        m_spans(span{.trace = call.context.trace,
+                     .parentSpanId = parentSpanId,
+                     .name = "target",
+                     .route = call.definition.name,
+                     .workspace = call.context.workspace,
+                     .start = startedWall,
+                     .end = wallClockNow(),
+                     .httpStatus = answer.response.result_int(),
+                     .result = answer.result});
+    }
+    co_return answer;
+}
+
+call_answer target_gateway::refuse(refusal_kind kind, const inbound_call &call)
+{
+    m_notRun.add();
+    const auto pause = m_admission ? retryAfter(*m_admission) : duration{seconds{1}};
+    auto answer = refuseCall(kind, outcome::NotRun, call.context.retryAllowance, pause);
+    fillLoad(answer, call.context.workspace, {});
+    return answer;
+}
+
+call_answer target_gateway::toAnswer(exchange_result result, const inbound_call &call, const in_flight_request &request)
+{
+    call_answer answer;
+    if (result.progress == exchange_progress::Answered) {
+        m_started.add();
+        answer.response = std::move(*result.response);
+        removeInternalFields(answer.response);
+        removeHopByHopFields(answer.response);
+        answer.response.prepare_payload();
+        answer.result = outcome::Ran;
+        answer.unusedAllowance = unusedAllowance(request.escrow);
+    } else if (result.progress == exchange_progress::NotSent) {
+        const auto kind = call.control->cancelled() ? refusal_kind::Cancelled : refusal_kind::NoInstance;
+        m_notRun.add();
+        answer = refuseCall(kind, outcome::NotRun, unusedAllowance(request.escrow), seconds{1});
+    } else {
+        const bool late = monotonicNow() >= call.deadline;
+        m_unknown.add();
+        answer = refuseCall(
+            late ? refusal_kind::DeadlineExceeded : refusal_kind::AnswerLost, outcome::Unknown, unusedAllowance(request.escrow));
+    }
+    fillLoad(answer, call.context.workspace, request.level);
+    return answer;
+}
+
+void target_gateway::release(request_id id, const in_flight_request &request, const exchange_result &result, bool cancelled)
+{
+    const auto now = monotonicNow();
+    if (cancelled) {
+        apply(cancel(*m_admission, id, now));
+        return;
+    }
+    const bool answered = result.progress == exchange_progress::Answered;
+    const completion finished{.id = id,
+                              .downstreamTime = request.downstreamTime,
+                              .rejected = answered && isOverloadStatus(result.response->result_int()),
+                              .timedOut = !answered};
+    apply(complete(*m_admission, finished, now));
+}
+
+void target_gateway::apply(const admission_changes &changes)
+{
+    for (const auto id : changes.started) {
+        settle(id, slot_state::Granted);
+    }
+    for (const auto id : changes.expired) {
+        settle(id, slot_state::Expired);
+    }
+}
+
+void target_gateway::settle(request_id id, slot_state state)
+{
+    const auto found = m_waiters.find(id);
+    if (found == m_waiters.end()) {
+        return;
+    }
+    found->second->state = state;
+    found->second->changed.notifyAll();
+    m_waiters.erase(found);
+}
+
+void target_gateway::fillLoad(call_answer &answer, const std::string &workspace, const shed_level &below)
+{
+    if (!m_admission) {
+        return;
+    }
+    answer.level = strictest(shedLevel(*m_admission, workspace, monotonicNow()), below);
+    answer.load = utilisation(*m_admission);
+}
+
+} // namespace ragwortpin
