Parse, check, index, compare and encode configurations

Cause: nodes and operators need one model of a checked set: read from files with every problem told, looked up on the data path, sent as a small change.

Paths that a target may decode to another path (dot segments, encoded letters, doubled slashes) match no route, so no spelling reaches a once-route's target under another route's rules.

--- a/src/ragwortpin/config/fwd.h
+++ b/src/ragwortpin/config/fwd.h
@@ -12,6 +12,17 @@
 struct configuration;
 struct config_problem;
 class yaml_reader;
+struct configuration_text;
+struct configuration_sources;
+struct parsed_configuration;
+enum class object_kind : unsigned char;
+struct object_ref;
+struct object_change;
+struct configuration_change;
+struct configuration_index;
+struct indexed_route;
+struct indexed_key;
+struct route_match;
 
 } // namespace ragwortpin
 
--- /dev/null
+++ b/src/ragwortpin/config/lookup.cpp
@@ -0,0 +1,171 @@
+#include "ragwortpin/config/lookup.h"
+
+#include "ragwortpin/config/path.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace ragwortpin {
+
+namespace internal {
+
+/** Number of segments of a route's path; 0 for "/". */
+std::size_t segmentCount(std::string_view path) noexcept
+{
+    return path == "/" ? 0 : static_cast<std::size_t>(std::count(path.begin(), path.end(), '/'));
+}
+
+template<typename Object>
+string_table<std::size_t> positionsByName(const std::vector<Object> &objects)
+{
+    string_table<std::size_t> positions;
+    for (std::size_t position{0}; position < objects.size(); ++position) {
+        positions.emplace(objects[position].name, position);
+    }
+    return positions;
+}
+
+void indexRoutes(configuration_index &index)
+{
+    for (const auto &item : index.value.routes) {
+        const auto rank = index.ranksByName.find(item.importance);
+        if (rank == index.ranksByName.end() || !index.servicesByName.contains(item.service)) {
+            continue;
+        }
+        index.routesByPath[item.path].push_back(index.routes.size());
+        index.routes.push_back({item, rank->second});
+        index.deepestPath = std::max(index.deepestPath, segmentCount(item.path));
+    }
+}
+
+void indexKeys(configuration_index &index)
+{
+    for (const auto &item : index.value.keys) {
+        const auto digest = parseDigest(item.sha256);
+        const auto position = index.workspacesByName.find(item.workspace);
+        if (digest && position != index.workspacesByName.end()) {
+            index.keys.push_back({*digest, item.name, position->second});
+        }
+    }
+    std::sort(index.keys.begin(), index.keys.end(), [](const indexed_key &left, const indexed_key &right) {
+        return left.digest < right.digest;
+    });
+}
+
+/** Chooses among routes of equal path. */
+const indexed_route *
+chooseByMethod(const configuration_index &index, const std::vector<std::size_t> &positions, std::string_view method) noexcept
+{
+    const indexed_route *anyMethod{nullptr};
+    for (const auto position : positions) {
+        const auto &candidate = index.routes[position];
+        if (candidate.definition.method == method) {
+            return &candidate;
+        }
+        if (candidate.definition.method.empty()) {
+            anyMethod = &candidate;
+        }
+    }
+    return anyMethod;
+}
+
+const indexed_route *findByPath(const configuration_index &index, std::string_view method, std::string_view path) noexcept
+{
+    const auto positions = index.routesByPath.find(path);
+    return positions == index.routesByPath.end() ? nullptr : chooseByMethod(index, positions->second, method);
+}
+
+/** Cuts a path to its first segments, at most the given number, without a '/' at the end. */
+std::string_view truncatePath(std::string_view path, std::size_t segments) noexcept
+{
+    std::size_t end{0};
+    for (std::size_t count{0}; count < segments && end < path.size(); ++count) {
+        end = std::min(path.find('/', end + 1), path.size());
+    }
+    const auto prefix = path.substr(0, end);
+    return prefix.ends_with('/') ? prefix.substr(0, prefix.size() - 1) : prefix;
+}
+
+template<typename Object>
+const Object *findNamed(const std::vector<Object> &objects, const string_table<std::size_t> &positions, std::string_view name) noexcept
+{
+    const auto position = positions.find(name);
+    return position == positions.end() ? nullptr : &objects[position->second];
+}
+
+} // namespace internal
+
+std::shared_ptr<const configuration_index> buildIndex(configuration value)
+{
+    auto index = std::make_shared<configuration_index>();
+    index->value = std::move(value);
+    index->workspacesByName = internal::positionsByName(index->value.workspaces);
+    index->servicesByName = internal::positionsByName(index->value.services);
+    index->availabilityZonesByName = internal::positionsByName(index->value.availabilityZones);
+    for (const auto &item : index->value.importances) {
+        index->ranksByName.emplace(item.name, item.rank);
+    }
+    internal::indexRoutes(*index);
+    internal::indexKeys(*index);
+    return index;
+}
+
+route_match findRoute(const configuration_index &index, std::string_view method, std::string_view path) noexcept
+{
+    const auto target = path.substr(0, path.find('?'));
+    if (!isCanonicalPath(target)) {
+        return {};
+    }
+    auto prefix = internal::truncatePath(target, index.deepestPath);
+    while (!prefix.empty()) {
+        if (const auto *found = internal::findByPath(index, method, prefix)) {
+            return {found};
+        }
+        prefix = prefix.substr(0, prefix.rfind('/'));
+    }
+    return {internal::findByPath(index, method, "/")};
+}
+
+const indexed_key *findKey(const configuration_index &index, const sha256_digest &digest) noexcept
+{
+    // The search orders digests, never secrets: its timing tells nothing that helps to find a secret.
+    const auto candidate
+        = std::lower_bound(index.keys.begin(), index.keys.end(), digest, [](const indexed_key &key, const sha256_digest &wanted) {
+              return key.digest < wanted;
+          });
+    if (candidate == index.keys.end() || !equalsInConstantTime(candidate->digest, digest)) {
+        return nullptr;
+    }
+    return &*candidate;
+}
+
+const workspace &workspaceOf(const configuration_index &index, const indexed_key &key) noexcept
+{
+    return index.value.workspaces[key.workspace];
+}
+
+const workspace *findWorkspace(const configuration_index &index, std::string_view name) noexcept
+{
+    return internal::findNamed(index.value.workspaces, index.workspacesByName, name);
+}
+
+const service *findService(const configuration_index &index, std::string_view name) noexcept
+{
+    return internal::findNamed(index.value.services, index.servicesByName, name);
+}
+
+const availability_zone *findAvailabilityZone(const configuration_index &index, std::string_view name) noexcept
+{
+    return internal::findNamed(index.value.availabilityZones, index.availabilityZonesByName, name);
+}
+
+std::optional<unsigned> findRank(const configuration_index &index, std::string_view importanceName) noexcept
+{
+    const auto rank = index.ranksByName.find(importanceName);
+    if (rank == index.ranksByName.end()) {
+        return std::nullopt;
+    }
+    return rank->second;
+}
+
+} // namespace ragwortpin
--- a/src/ragwortpin/config/yaml_reader.cpp
+++ b/src/ragwortpin/config/yaml_reader.cpp
@@ -187,7 +187,7 @@
 yaml_reader::yaml_reader(std::string file, std::string object, const YAML::Node &node, std::vector<config_problem> &problems)
     : m_file{std::move(file)}
     , m_object{std::move(object)}
-    , m_line{std::max(node.Mark().line + 1, 0)}
+    , m_line{std::max(node.Mark().line + 1, 1)}
     , m_isMapping{node.IsMap()}
     , m_problems{&problems}
 {
--- /dev/null
+++ b/src/ragwortpin/config/yaml_writer.cpp
@@ -0,0 +1,99 @@
+#include "ragwortpin/config/serialise.h"
+
+#include <yaml-cpp/emitter.h>
+#include <yaml-cpp/emittermanip.h>
+
+#include <array>
+#include <charconv>
+
+namespace ragwortpin {
+
+namespace internal {
+
+/** Writes the shortest text that reads back to the same number. */
+std::string numberText(double value)
+{
+    constexpr std::size_t BufferSize{32};
+    std::array<char, BufferSize> buffer{};
+    const auto result = std::to_chars(buffer.data(), buffer.data() + buffer.size(), value);
+    return {buffer.data(), result.ptr};
+}
+
+template<typename Value>
+void writeField(YAML::Emitter &output, const char *name, const Value &value)
+{
+    output << YAML::Key << name << YAML::Value << value;
+}
+
+/** Leaves out a field that has its default. */
+template<typename Value>
+void writeOptional(YAML::Emitter &output, const char *name, const Value &value, const Value &defaultValue)
+{
+    if (!(value == defaultValue)) {
+        writeField(output, name, value);
+    }
+}
+
+void writeFields(YAML::Emitter &output, const availability_zone &item)
+{
+    writeField(output, "region", item.region);
+    writeField(output, "share", numberText(item.share));
+}
+
+void writeFields(YAML::Emitter &output, const importance &item)
+{
+    writeField(output, "rank", item.rank);
+}
+
+void writeFields(YAML::Emitter &output, const workspace &item)
+{
+    writeField(output, "rate", numberText(item.rate));
+    writeField(output, "burst", numberText(item.burst));
+    writeOptional(output, "weight", numberText(item.weight), numberText(workspace{}.weight));
+}
+
+void writeFields(YAML::Emitter &output, const api_key &item)
+{
+    writeField(output, "workspace", item.workspace);
+    writeField(output, "sha256", item.sha256);
+}
+
+void writeFields(YAML::Emitter &output, const service &item)
+{
+    writeOptional(output, "retry_ratio", numberText(item.retryRatio), numberText(service{}.retryRatio));
+}
+
+void writeFields(YAML::Emitter &output, const route &item)
+{
+    const route defaults;
+    writeOptional(output, "method", item.method, defaults.method);
+    writeField(output, "path", item.path);
+    writeField(output, "service", item.service);
+    writeField(output, "importance", item.importance);
+    writeOptional(output, "open", item.open, defaults.open);
+    writeOptional(output, "once", item.once, defaults.once);
+    writeOptional(output, "retryable", item.retryable, defaults.retryable);
+    writeField(output, "deadline_ms", item.deadline.count());
+}
+
+} // namespace internal
+
+std::string toYaml(const configuration &value)
+{
+    YAML::Emitter output;
+    output << YAML::BeginMap;
+    visitObjects(value, [&output](object_kind kind, const auto &objects) {
+        output << YAML::Key << std::string{describe(kind).listName} << YAML::Value << YAML::BeginSeq;
+        for (const auto &object : objects) {
+            output << YAML::BeginMap;
+            internal::writeField(output, "name", object.name);
+            internal::writeFields(output, object);
+            output << YAML::EndMap;
+        }
+        output << YAML::EndSeq;
+    });
+    output << YAML::EndMap;
+    return std::string{output.c_str()} + "\n";
+}
+
+} // namespace ragwortpin
--- a/tests/config/yaml_reader_test.cpp
+++ b/tests/config/yaml_reader_test.cpp
@@ -34,7 +34,7 @@
         {"two documents", "a: 1\n---\nb: 1\n", 2, "more than one document"},
         {"tag", "a: !!binary aGVsbG8=\n", 1, "tag"},
         {"syntax", "a: 1\nb: [1\n", 3, "not valid YAML"},
-        {"long", std::string(2 * 1024 * 1024, 'a'), 0, "more than 1048576"},
+        {"long", std::string(2UL * 1024 * 1024, 'a'), 0, "more than 1048576"},
     };
     for (const auto &item : cases) {
         CAPTURE(item.name);
