--- a/src/ragwortpin/config/lookup.cpp
+++ b/src/ragwortpin/config/lookup.cpp
@@ -1,6 +1,7 @@
 #include "ragwortpin/config/lookup.h"
 
 #include "ragwortpin/config/path.h"
+#include "ragwortpin/identity/digest.h"
 
 #include <algorithm>
 #include <utility>
@@ -41,10 +42,9 @@
 void indexKeys(configuration_index &index)
 {
     for (const auto &item : index.value.keys) {
-        const auto digest = parseDigest(item.sha256);
         const auto position = index.workspacesByName.find(item.workspace);
-        if (digest && position != index.workspacesByName.end()) {
-            index.keys.push_back({*digest, item.name, position->second});
+        if (position != index.workspacesByName.end()) {
+            index.keys.push_back({item.sha256, item.name, position->second});
         }
     }
     std::sort(index.keys.begin(), index.keys.end(), [](const indexed_key &left, const indexed_key &right) {
@@ -126,14 +126,14 @@
     return {internal::findByPath(index, method, "/")};
 }
 
-const indexed_key *findKey(const configuration_index &index, const sha256_digest &digest) noexcept
+const indexed_key *findKey(const configuration_index &index, std::string_view digest) noexcept
 {
     // The search orders digests, never secrets: its timing tells nothing that helps to find a secret.
     const auto candidate
-        = std::lower_bound(index.keys.begin(), index.keys.end(), digest, [](const indexed_key &key, const sha256_digest &wanted) {
+        = std::lower_bound(index.keys.begin(), index.keys.end(), digest, [](const indexed_key &key, std::string_view wanted) {
               return key.digest < wanted;
           });
-    if (candidate == index.keys.end() || !equalsInConstantTime(candidate->digest, digest)) {
+    if (candidate == index.keys.end() || !constantTimeEqual(candidate->digest, digest)) {
         return nullptr;
     }
     return &*candidate;
--- a/src/ragwortpin/config/lookup.h
+++ b/src/ragwortpin/config/lookup.h
@@ -1,7 +1,6 @@
 #ifndef RAGWORTPIN_CONFIG_LOOKUP_H
 #define RAGWORTPIN_CONFIG_LOOKUP_H
 
-#include "ragwortpin/config/digest.h"
 #include "ragwortpin/config/model.h"
 
 #include <cstddef>
@@ -47,7 +46,8 @@
 /** A key with the position of its workspace in the configuration. */
 struct indexed_key
 {
-    sha256_digest digest{};
+    /** SHA-256 of the secret, 64 lower-case hexadecimal digits. */
+    std::string digest;
     std::string name;
     std::size_t workspace{0};
 
@@ -107,8 +107,8 @@
  */
 [[nodiscard]] route_match findRoute(const configuration_index &index, std::string_view method, std::string_view path) noexcept;
 
-/** Finds a key by the digest of the secret that was shown; nothing when it is unknown or withdrawn. */
-[[nodiscard]] const indexed_key *findKey(const configuration_index &index, const sha256_digest &digest) noexcept;
+/** Finds a key by the digest of the secret that was shown, as sha256Hex() gives it; nothing when it is unknown or withdrawn. */
+[[nodiscard]] const indexed_key *findKey(const configuration_index &index, std::string_view digest) noexcept;
 
 /** Returns the workspace that a key belongs to. */
 [[nodiscard]] const workspace &workspaceOf(const configuration_index &index, const indexed_key &key) noexcept;
--- a/tests/config/configuration_test.cpp
+++ b/tests/config/configuration_test.cpp
@@ -7,6 +7,7 @@
 #include "ragwortpin/config/parse.h"
 #include "ragwortpin/config/path.h"
 #include "ragwortpin/config/serialise.h"
+#include "ragwortpin/identity/digest.h"
 
 #include <catch2/catch.hpp>
 
@@ -134,17 +135,17 @@
     const auto index = buildIndex(value);
     for (const auto &item : value.workspaces) {
         CAPTURE(item.name);
-        const auto *key = findKey(*index, sha256Of("example-key-" + item.name));
+        const auto *key = findKey(*index, sha256Hex("example-key-" + item.name));
         REQUIRE(key != nullptr);
         CHECK(workspaceOf(*index, *key).name == item.name);
         CHECK(findWorkspace(*index, item.name) != nullptr);
     }
-    CHECK(findKey(*index, sha256Of("example-key-nobody")) == nullptr);
-    CHECK(findKey(*index, sha256Of("")) == nullptr);
+    CHECK(findKey(*index, sha256Hex("example-key-nobody")) == nullptr);
+    CHECK(findKey(*index, sha256Hex("")) == nullptr);
     std::erase_if(value.keys, [](const api_key &key) {
         return key.name == "howrah-coaches-1";
     });
-    CHECK(findKey(*buildIndex(value), sha256Of("example-key-howrah-coaches")) == nullptr);
+    CHECK(findKey(*buildIndex(value), sha256Hex("example-key-howrah-coaches")) == nullptr);
     CHECK(findRank(*index, "purchase") == 0U);
     CHECK_FALSE(findRank(*index, "none").has_value());
     CHECK(findService(*index, "breakdowns")->retryRatio == 0.05);
