Add the signed datagram envelope between nodes

Cause: membership, spread and loans share one UDP port and need one bounded, authenticated envelope. Ruled out: the full 32-byte tag (16 bytes more in each of several datagrams a second) and a replay window per sender (state per peer; every protocol on top is idempotent instead, which the header states). Seen failing first: with the signature check disabled, 'datagram is refused with a typed error' and 'datagram changed in any byte is refused' fail at test_peers. Conclusion: test_peers passes with 6 cases (20,000 random and 50,000 damaged signed envelopes decoded or refused).

--- /dev/null
+++ b/src/ragwortpin/peers/error.h
@@ -0,0 +1,37 @@
+#ifndef RAGWORTPIN_PEERS_ERROR_H
+#define RAGWORTPIN_PEERS_ERROR_H
+
+#include "ragwortpin/peers/fwd.h"
+
+#include <system_error>
+#include <type_traits>
+
+namespace ragwortpin {
+
+/** What can go wrong in the traffic between nodes. */
+enum class peers_error : int {
+    DatagramTooLarge = 1,
+    DatagramTooShort,
+    DatagramForged,
+    DatagramMalformed,
+    DatagramVersionUnknown,
+    DatagramKindUnknown,
+    DatagramStale,
+    MessageMalformed,
+    PeerUnreachable,
+    PeerTimeout,
+    PeerAnswerInvalid,
+    ConfigurationDigestMismatch,
+    SocketUnavailable,
+};
+
+/** Makes an error code of the peers category. */
+[[nodiscard]] std::error_code make_error_code(peers_error error) noexcept;
+
+} // namespace ragwortpin
+
+template<>
+struct std::is_error_code_enum<ragwortpin::peers_error> : std::true_type
+{ };
+
+#endif
--- /dev/null
+++ b/tests/peers/datagram_test.cpp
@@ -0,0 +1,133 @@
+#include "ragwortpin/peers/datagram.h"
+#include "ragwortpin/peers/error.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+
+#include <array>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace ragwortpin;
+
+namespace {
+
+constexpr std::size_t SignatureBytes{16};
+constexpr microseconds SentAt{seconds{1'800'000'000}};
+const datagram_secrets Secrets{"current secret", "previous secret"};
+
+datagram sample(std::string payload)
+{
+    return {datagram_kind::Loans, "node-a", "zone-1", SentAt, std::move(payload)};
+}
+
+std::string signBody(const std::string &body)
+{
+    std::array<unsigned char, EVP_MAX_MD_SIZE> tag{};
+    const auto *bytes = reinterpret_cast<const unsigned char *>(body.data());
+    HMAC(EVP_sha256(), Secrets.current.data(), static_cast<int>(Secrets.current.size()), bytes, body.size(), tag.data(), nullptr);
+    return body + std::string(reinterpret_cast<const char *>(tag.data()), SignatureBytes);
+}
+
+struct refused_case
+{
+    const char *name;
+    datagram_secrets accepted;
+    microseconds receivedAt;
+    peers_error error;
+};
+
+} // namespace
+
+TEST_CASE("datagram is read back whole under either accepted secret")
+{
+    rc::prop("opening what was sealed yields the same datagram", [](const std::string &payload, bool rotated) {
+        RC_PRE(payload.size() <= MaxDatagramPayloadBytes);
+        const auto value = sample(payload);
+        const auto sealed = seal(value, rotated ? Secrets.previous : Secrets.current);
+        RC_ASSERT(!sealed.error);
+        RC_ASSERT(sealed.bytes.size() <= MaxDatagramBytes);
+        const auto opened = open(sealed.bytes, Secrets, SentAt);
+        RC_ASSERT(!opened.error);
+        RC_ASSERT(opened.value == value);
+    });
+}
+
+TEST_CASE("datagram with the longest names carries the largest payload and no more")
+{
+    auto value = sample(std::string(MaxDatagramPayloadBytes, 'x'));
+    value.sender = std::string(MaxDatagramNameBytes, 'n');
+    value.availabilityZone = std::string(MaxDatagramNameBytes, 'z');
+    REQUIRE_FALSE(seal(value, Secrets.current).error);
+    value.payload = std::string(MaxDatagramBytes, 'x');
+    REQUIRE(seal(value, Secrets.current).error == peers_error::DatagramTooLarge);
+    value.payload.clear();
+    value.sender += 'n';
+    REQUIRE(seal(value, Secrets.current).error == peers_error::DatagramTooLarge);
+}
+
+TEST_CASE("datagram is refused with a typed error")
+{
+    const std::vector<refused_case> cases{
+        {"other secret", {"another", ""}, SentAt, peers_error::DatagramForged},
+        {"empty secrets", {"", ""}, SentAt, peers_error::DatagramForged},
+        {"too old", Secrets, SentAt + MaxDatagramAge + seconds{1}, peers_error::DatagramStale},
+        {"from the future", Secrets, SentAt - MaxDatagramAge - seconds{1}, peers_error::DatagramStale},
+    };
+    const auto sealed = seal(sample("payload"), Secrets.current);
+    for (const auto &item : cases) {
+        CAPTURE(item.name);
+        REQUIRE(open(sealed.bytes, item.accepted, item.receivedAt).error == item.error);
+    }
+    REQUIRE(open("", Secrets, SentAt).error == peers_error::DatagramTooShort);
+    REQUIRE(open(std::string(MaxDatagramBytes + 1, 'x'), Secrets, SentAt).error == peers_error::DatagramTooLarge);
+}
+
+TEST_CASE("datagram changed in any byte is refused")
+{
+    const auto sealed = seal(sample("a payload of some length"), Secrets.current);
+    for (std::size_t index{0}; index < sealed.bytes.size(); ++index) {
+        auto changed = sealed.bytes;
+        changed[index] = static_cast<char>(changed[index] ^ 1);
+        CAPTURE(index);
+        REQUIRE(open(changed, Secrets, SentAt).error == peers_error::DatagramForged);
+    }
+}
+
+TEST_CASE("random bytes are refused whether signed or not")
+{
+    constexpr int Rounds{20'000};
+    std::mt19937_64 random{20261204};
+    for (int round{0}; round < Rounds; ++round) {
+        std::string bytes(random() % 64, '\0');
+        for (auto &byte : bytes) {
+            byte = static_cast<char>(random());
+        }
+        REQUIRE(open(bytes, Secrets, SentAt).error);
+        REQUIRE(open(signBody(bytes), Secrets, SentAt).error);
+    }
+}
+
+TEST_CASE("signed envelopes damaged in a few bytes are decoded or refused without harm")
+{
+    constexpr int Rounds{50'000};
+    std::mt19937_64 random{20261204};
+    const auto sealed = seal(sample("a payload of some length"), Secrets.current).bytes;
+    const auto body = sealed.substr(0, sealed.size() - SignatureBytes);
+    std::size_t refused{0};
+    for (int round{0}; round < Rounds; ++round) {
+        auto damaged = body.substr(0, random() % 4 == 0 ? random() % body.size() : body.size());
+        for (std::size_t changes{random() % 4}; changes > 0 && !damaged.empty(); --changes) {
+            damaged[random() % std::min<std::size_t>(damaged.size(), 24)] = static_cast<char>(random());
+        }
+        const auto result = open(signBody(damaged), Secrets, SentAt);
+        refused += result.error ? 1 : 0;
+        REQUIRE((result.error || result.value.payload.size() <= MaxDatagramBytes));
+    }
+    REQUIRE(refused > Rounds / 4);
+    REQUIRE(refused < Rounds);
+}
