Add membership and spread of configuration as protocol functions

Cause: nodes need to know each other and the newest configuration without a coordination service. Gossiping deaths: a death believed elsewhere counts as a suspicion here, so that a healed partition cannot remove live members before they refute.

--- /dev/null
+++ b/src/ragwortpin/membership/protocol.cpp
@@ -0,0 +1,250 @@
+#include "ragwortpin/membership/protocol.h"
+
+#include "ragwortpin/membership/exchange.h"
+#include "ragwortpin/membership/message_codec.h"
+#include "ragwortpin/membership/probe.h"
+#include "ragwortpin/membership/table.h"
+#include "ragwortpin/membership/updates.h"
+#include "ragwortpin/peers/datagram.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace ragwortpin {
+
+namespace {
+
+using internal::outputs;
+
+constexpr std::size_t DatagramOverheadBytes{128};
+constexpr std::size_t SampleAttemptsFactor{4};
+constexpr duration RemovalInterval{seconds{10}};
+
+/** Voids what this process missed while it was paused: its probes had no chance and its timeouts ran on. */
+void forgivePause(membership_state &state, time_point now)
+{
+    const auto gap = now - state.lastTick;
+    if (gap < state.options.pauseThreshold) {
+        return;
+    }
+    ++state.counters.pauses;
+    state.probe.reset();
+    state.relays.clear();
+    for (const auto &name : state.suspects) {
+        auto *target = internal::findMember(state, name);
+        if (target != nullptr && target->status == member_status::Suspect) {
+            target->deadline += gap;
+        }
+    }
+}
+
+void refillBudget(membership_state &state, time_point now)
+{
+    const auto refill = toSeconds(now - state.lastTick) * state.options.bytesPerSecond;
+    state.budgetBytes = std::min(state.options.burstBytes, state.budgetBytes + refill);
+}
+
+/** Peers of one round of gossip; distinct where there are enough. */
+std::vector<peer_address> gossipPeers(membership_state &state, std::mt19937_64 &random)
+{
+    std::vector<peer_address> peers;
+    for (std::size_t count{0}; count < state.options.gossipFanout; ++count) {
+        const auto *peer = internal::pickLive(state, random);
+        if (peer != nullptr) {
+            peers.push_back(internal::gossipAddress(*peer));
+        }
+    }
+    return peers;
+}
+
+void tickGossip(membership_state &state, time_point now, std::mt19937_64 &random, outputs &out)
+{
+    if (now < state.nextGossip || state.queue.empty() || state.budgetBytes <= 0.0) {
+        return;
+    }
+    const auto peers = gossipPeers(state, random);
+    if (peers.empty()) {
+        return;
+    }
+    state.nextGossip = now + state.options.gossipInterval;
+    auto message = internal::makeMessage(state, membership_message_kind::Gossip, 0);
+    const auto frame = encodedFrameBound(message);
+    internal::addQueuedUpdates(state, message, MaxDatagramPayloadBytes - frame, static_cast<std::uint16_t>(peers.size()));
+    auto bytes = frame + DatagramOverheadBytes;
+    for (const auto &update : message.updates) {
+        bytes += encodedSizeBound(update);
+    }
+    for (const auto &peer : peers) {
+        state.budgetBytes -= static_cast<double>(bytes);
+        out.push_back({peer, message});
+    }
+}
+
+void tickRemoval(membership_state &state, time_point now)
+{
+    internal::expireSuspicions(state, now);
+    if (now >= state.nextRemoval) {
+        state.nextRemoval = now + RemovalInterval;
+        internal::removeExpired(state, now);
+    }
+}
+
+void noteRevision(membership_state &state, const std::string &sender, std::uint64_t revision)
+{
+    auto *known = internal::findMember(state, sender);
+    if (known != nullptr && known->record.revision < revision) {
+        known->record.revision = revision;
+        ++state.viewVersion;
+    }
+}
+
+} // namespace
+
+membership_state startMembership(time_point now,
+                                 const membership_options &options,
+                                 const instance_record &self,
+                                 std::vector<peer_address> seeds,
+                                 std::mt19937_64 &random)
+{
+    membership_state state;
+    state.options = options;
+    state.seeds = std::move(seeds);
+    state.budgetBytes = options.burstBytes;
+    state.startedAt = now;
+    state.lastTick = now;
+    state.lastExchange = now - options.exchangeInterval;
+    state.lastSequence = static_cast<std::uint32_t>(random());
+    std::uniform_int_distribution<duration::rep> phase{0, options.probePeriod.count()};
+    state.nextProbe = now + duration{phase(random)};
+    state.nextGossip = now;
+    state.nextReconnect = now;
+    state.nextRemoval = now + RemovalInterval;
+    auto *added = internal::insertMember(state, now, self);
+    internal::enqueue(state, *added, true);
+    return state;
+}
+
+void setSeeds(membership_state &state, std::vector<peer_address> seeds)
+{
+    state.seeds = std::move(seeds);
+}
+
+void setOwnRecord(membership_state &state, time_point now, instance_record record)
+{
+    auto &self = state.members.front();
+    record.name = self.record.name;
+    record.incarnation = self.record.incarnation;
+    if (self.record.state == instance_state::Gone) {
+        record.state = instance_state::Gone;
+    }
+    const auto isNewDescription = descriptionHash(record) != self.descriptionHash;
+    if (isNewDescription || record.state != self.record.state) {
+        ++record.incarnation;
+        internal::replaceMember(state, now, self, record, member_status::Alive);
+        internal::enqueue(state, self, isNewDescription);
+    }
+    setOwnRevision(state, record.revision);
+}
+
+void setOwnRevision(membership_state &state, std::uint64_t revision)
+{
+    auto &own = state.members.front().record.revision;
+    if (own != revision) {
+        own = revision;
+        ++state.viewVersion;
+    }
+}
+
+std::vector<membership_output> tickMembership(membership_state &state, time_point now, std::mt19937_64 &random)
+{
+    outputs out;
+    forgivePause(state, now);
+    refillBudget(state, now);
+    state.lastTick = now;
+    tickRemoval(state, now);
+    internal::tickProbe(state, now, random, out);
+    internal::tickReconnect(state, now, random, out);
+    internal::tickExchange(state, now, random, out);
+    tickGossip(state, now, random, out);
+    return out;
+}
+
+std::vector<membership_output> handleMembershipMessage(membership_state &state,
+                                                       time_point now,
+                                                       const std::string &sender,
+                                                       const peer_address &from,
+                                                       const membership_message &message,
+                                                       std::mt19937_64 &random)
+{
+    outputs out;
+    if (sender == state.members.front().record.name) {
+        return out;
+    }
+    for (const auto &update : message.updates) {
+        internal::applyUpdate(state, now, update);
+    }
+    noteRevision(state, sender, message.revision);
+    switch (message.kind) {
+    case membership_message_kind::Ping:
+        internal::handlePing(state, sender, from, message, out);
+        break;
+    case membership_message_kind::Ack:
+        internal::handleAck(state, from, message, out);
+        break;
+    case membership_message_kind::PingRequest:
+        internal::handlePingRequest(state, now, from, message, out);
+        break;
+    case membership_message_kind::ExchangeRequest:
+        internal::handleExchangeRequest(state, random, from, message, out);
+        break;
+    case membership_message_kind::ExchangeReply:
+        internal::handleExchangeReply(state, from, message);
+        break;
+    case membership_message_kind::Gossip:
+        break;
+    }
+    return out;
+}
+
+membership_view membershipView(const membership_state &state)
+{
+    membership_view view;
+    view.instances.reserve(state.liveMembers);
+    for (const auto &candidate : state.members) {
+        if (internal::isLive(candidate)) {
+            view.instances.push_back(candidate.record);
+        }
+    }
+    std::sort(view.instances.begin(), view.instances.end(), [](const instance_record &left, const instance_record &right) {
+        return left.name < right.name;
+    });
+    return view;
+}
+
+std::vector<instance_record> samplePeers(membership_state &state, std::size_t count, std::mt19937_64 &random)
+{
+    std::vector<instance_record> peers;
+    for (auto attempt = count * SampleAttemptsFactor; attempt > 0 && peers.size() < count; --attempt) {
+        const auto *peer = internal::pickLive(state, random);
+        if (peer == nullptr) {
+            break;
+        }
+        const auto isKnown = std::any_of(peers.begin(), peers.end(), [peer](const instance_record &record) {
+            return record.name == peer->record.name;
+        });
+        if (!isKnown) {
+            peers.push_back(peer->record);
+        }
+    }
+    return peers;
+}
+
+std::size_t ownZoneSize(const membership_state &state)
+{
+    const auto &zone = state.members.front().record.availabilityZone;
+    return static_cast<std::size_t>(std::count_if(state.members.begin(), state.members.end(), [&zone](const member &value) {
+        return internal::isLive(value) && value.record.availabilityZone == zone;
+    }));
+}
+
+} // namespace ragwortpin
--- /dev/null
+++ b/src/ragwortpin/membership/state.h
@@ -0,0 +1,152 @@
+#ifndef RAGWORTPIN_MEMBERSHIP_STATE_H
+#define RAGWORTPIN_MEMBERSHIP_STATE_H
+
+#include "ragwortpin/core/time.h"
+#include "ragwortpin/membership/message.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace ragwortpin {
+
+/** Parts into which a table is cut for comparison between nodes. */
+inline constexpr std::size_t MembershipParts{64};
+
+/** Settings of the membership protocol. All nodes of a fleet use the same ones. */
+struct membership_options
+{
+    /** Time from one probe to the next. */
+    duration probePeriod{seconds{1}};
+    /** Time after which an unanswered probe is repeated and peers are asked to probe too. */
+    duration probeTimeout{milliseconds{300}};
+    /** Probe periods without an answer before a member is suspected. */
+    unsigned probeAttempts{2};
+    /** Peers asked to probe a member that did not answer. */
+    std::size_t indirectProbes{3};
+    /** Fraction of probes that go to the own availability zone. */
+    double ownZoneFraction{0.75};
+    /** Time that a suspected member has to refute. */
+    duration suspicionTimeout{seconds{5}};
+    /** Time between two rounds of gossip. */
+    duration gossipInterval{milliseconds{200}};
+    /** Peers that a round of gossip goes to. */
+    std::size_t gossipFanout{2};
+    /** Transmissions of an update by one node, as a multiple of the binary logarithm of the number of members. */
+    double retransmitFactor{1.5};
+    /** Shortest time between two exchanges with peers whose table differs. */
+    duration exchangeInterval{seconds{2}};
+    /** Time between exchanges while a node loads its first table. */
+    duration loadInterval{milliseconds{200}};
+    /** Reply datagrams asked for while a node loads its first table. */
+    std::uint8_t loadReplies{4};
+    /** Time after which a node stops loading at the faster pace even if tables never agreed. */
+    duration loadTimeLimit{seconds{20}};
+    /** Time between attempts to reach a dead member or a seed again. */
+    duration reconnectInterval{seconds{5}};
+    /** Time after which a dead member is forgotten. */
+    duration deadRetention{std::chrono::hours{6}};
+    /** Time after which a member that left is forgotten. */
+    duration goneRetention{std::chrono::minutes{10}};
+    /** Gap between two ticks that counts as a pause of this process. */
+    duration pauseThreshold{milliseconds{1500}};
+    /** Bytes a second that gossip and exchanges may use on average. */
+    double bytesPerSecond{700.0};
+    /** Bytes that they may use at once. */
+    double burstBytes{20'000.0};
+    /** Members kept at most. */
+    std::size_t maxMembers{4'000};
+
+    bool operator==(const membership_options &) const = default;
+};
+
+/** Events counted since start. */
+struct membership_counters
+{
+    std::uint64_t probes{0};
+    std::uint64_t probeFailures{0};
+    std::uint64_t suspicions{0};
+    std::uint64_t deaths{0};
+    std::uint64_t refutations{0};
+    std::uint64_t exchanges{0};
+    std::uint64_t pauses{0};
+    std::uint64_t membersRefused{0};
+
+    bool operator==(const membership_counters &) const = default;
+};
+
+/** One entry of the table. */
+struct member
+{
+    instance_record record;
+    member_status status{member_status::Alive};
+    bool isQueued{false};
+    /** Whether the queued update has to carry the whole record. */
+    bool needsFullUpdate{false};
+    std::uint16_t transmissionsLeft{0};
+    std::uint32_t descriptionHash{0};
+    /** When a suspicion ends in death, or a dead record is forgotten. */
+    time_point deadline{};
+};
+
+/** A probe that is under way. */
+struct membership_probe
+{
+    std::string name;
+    std::uint32_t sequence{0};
+    time_point startedAt{};
+    unsigned attempts{0};
+    bool isIndirect{false};
+};
+
+/** A probe made for another node. */
+struct membership_relay
+{
+    std::uint32_t sequence{0};
+    peer_address requester;
+    std::uint32_t requesterSequence{0};
+    time_point expiresAt{};
+};
+
+/** State of the membership protocol at one node. The node itself is members[0]. */
+struct membership_state
+{
+    membership_options options;
+    std::vector<peer_address> seeds;
+    std::vector<member> members;
+    std::unordered_map<std::string, std::size_t> indexByName;
+    /** Members by status; Gone ones count as dead. */
+    std::size_t liveMembers{0};
+    /** Members whose update is still to be spread, the next first. */
+    std::deque<std::string> queue;
+    std::vector<std::string> suspects;
+    std::array<std::uint32_t, MembershipParts> partDigests{};
+    std::optional<membership_probe> probe;
+    std::vector<membership_relay> relays;
+    std::uint32_t lastSequence{0};
+    /** Whether the first table is still being loaded from peers. */
+    bool isLoading{true};
+    /** Peer whose table was last seen to differ. */
+    std::optional<peer_address> differingPeer;
+    double budgetBytes{0.0};
+    time_point startedAt{};
+    time_point lastTick{};
+    time_point lastChange{};
+    time_point lastExchange{};
+    time_point nextProbe{};
+    time_point nextGossip{};
+    time_point nextReconnect{};
+    time_point nextRemoval{};
+    /** Raised whenever membershipView() would yield something else. */
+    std::uint64_t viewVersion{0};
+    membership_counters counters;
+};
+
+} // namespace ragwortpin
+
+#endif
--- /dev/null
+++ b/src/ragwortpin/membership/updates.cpp
@@ -0,0 +1,233 @@
+#include "ragwortpin/membership/updates.h"
+
+#include "ragwortpin/membership/message_codec.h"
+#include "ragwortpin/membership/table.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace ragwortpin::internal {
+
+namespace {
+
+std::uint16_t transmissionLimit(const membership_state &state)
+{
+    const auto members = static_cast<double>(state.liveMembers + 1);
+    return static_cast<std::uint16_t>(std::ceil(state.options.retransmitFactor * std::log2(members)) + 1);
+}
+
+bool isSelf(const membership_state &state, const member &target)
+{
+    return &target == &state.members.front();
+}
+
+/** Raises the own incarnation above a claim that contradicts the own record. */
+void refute(membership_state &state, time_point now, const member_update &update)
+{
+    auto &self = state.members.front();
+    const auto claimsLife = update.status == member_status::Alive;
+    const auto hash = update.isShort ? update.descriptionHash : descriptionHash(update.record);
+    const auto agrees = claimsLife && update.record.state == self.record.state && hash == self.descriptionHash;
+    const auto isOlder = update.record.incarnation < self.record.incarnation;
+    if (isOlder || (agrees && update.record.incarnation == self.record.incarnation)) {
+        return;
+    }
+    auto record = self.record;
+    record.incarnation = update.record.incarnation + 1;
+    replaceMember(state, now, self, record, member_status::Alive);
+    enqueue(state, self, false);
+    ++state.counters.refutations;
+}
+
+void setSuspect(membership_state &state, time_point now, member &target, const instance_record &record)
+{
+    replaceMember(state, now, target, record, member_status::Suspect);
+    target.deadline = now + state.options.suspicionTimeout;
+    state.suspects.push_back(record.name);
+    ++state.counters.suspicions;
+}
+
+void insertUnknown(membership_state &state, time_point now, const member_update &update)
+{
+    if (update.isShort || update.status == member_status::Dead || update.record.state == instance_state::Gone) {
+        return;
+    }
+    auto *added = insertMember(state, now, update.record);
+    if (added == nullptr) {
+        return;
+    }
+    if (update.status == member_status::Suspect) {
+        setSuspect(state, now, *added, update.record);
+    }
+    enqueue(state, *added, true);
+}
+
+/** Record that a claim about a known member yields, or nothing when its short form refers to a description unknown here. */
+std::optional<instance_record> mergedRecord(const member &known, const member_update &update)
+{
+    if (!update.isShort) {
+        auto record = update.record;
+        record.revision = std::max(record.revision, known.record.revision);
+        return record;
+    }
+    if (update.descriptionHash != known.descriptionHash) {
+        return std::nullopt;
+    }
+    auto record = known.record;
+    record.incarnation = update.record.incarnation;
+    record.state = update.record.state;
+    return record;
+}
+
+void applyAlive(membership_state &state, time_point now, member &target, const member_update &update)
+{
+    if (update.record.incarnation <= target.record.incarnation) {
+        return;
+    }
+    const auto record = mergedRecord(target, update);
+    if (!record) {
+        return;
+    }
+    const auto isNewDescription = descriptionHash(*record) != target.descriptionHash;
+    replaceMember(state, now, target, *record, member_status::Alive);
+    if (record->state == instance_state::Gone) {
+        target.deadline = now + state.options.goneRetention;
+    }
+    enqueue(state, target, isNewDescription);
+}
+
+/** Applies a suspicion, or a death that another node believes in: nobody is declared dead without time to refute. */
+void applyDoubt(membership_state &state, time_point now, member &target, const member_update &update)
+{
+    const auto isNewer = update.record.incarnation > target.record.incarnation;
+    if (update.record.incarnation < target.record.incarnation || (!isNewer && target.status != member_status::Alive)) {
+        return;
+    }
+    if (!isLive(target) && (!isNewer || update.status == member_status::Dead)) {
+        return;
+    }
+    const auto record = isNewer ? mergedRecord(target, update) : target.record;
+    if (!record) {
+        return;
+    }
+    const auto isNewDescription = descriptionHash(*record) != target.descriptionHash;
+    setSuspect(state, now, target, *record);
+    enqueue(state, target, isNewDescription);
+}
+
+} // namespace
+
+void enqueue(membership_state &state, member &target, bool needsFullUpdate)
+{
+    if (target.isQueued) {
+        const auto place = std::find(state.queue.begin(), state.queue.end(), target.record.name);
+        if (place != state.queue.end()) {
+            state.queue.erase(place);
+        }
+    } else {
+        target.needsFullUpdate = false;
+    }
+    target.isQueued = true;
+    target.needsFullUpdate = target.needsFullUpdate || needsFullUpdate;
+    target.transmissionsLeft = transmissionLimit(state);
+    state.queue.push_front(target.record.name);
+}
+
+member_update updateOf(const member &value, bool isShort)
+{
+    member_update update;
+    update.status = value.status;
+    update.isShort = isShort;
+    if (isShort) {
+        update.record.name = value.record.name;
+        update.record.incarnation = value.record.incarnation;
+        update.record.state = value.record.state;
+        update.descriptionHash = value.descriptionHash;
+    } else {
+        update.record = value.record;
+    }
+    return update;
+}
+
+void addQueuedUpdates(membership_state &state, membership_message &message, std::size_t bytes, std::uint16_t copies)
+{
+    for (auto remaining = state.queue.size(); remaining > 0; --remaining) {
+        const auto name = state.queue.front();
+        auto *target = findMember(state, name);
+        if (target == nullptr) {
+            state.queue.pop_front();
+            continue;
+        }
+        auto update = updateOf(*target, !target->needsFullUpdate);
+        const auto size = encodedSizeBound(update);
+        if (size > bytes) {
+            return;
+        }
+        bytes -= size;
+        message.updates.push_back(std::move(update));
+        state.queue.pop_front();
+        target->transmissionsLeft -= std::min(copies, target->transmissionsLeft);
+        target->isQueued = target->transmissionsLeft > 0;
+        if (target->isQueued) {
+            state.queue.push_back(name);
+        }
+    }
+}
+
+void applyUpdate(membership_state &state, time_point now, const member_update &update)
+{
+    auto *target = findMember(state, update.record.name);
+    if (target == nullptr) {
+        insertUnknown(state, now, update);
+        return;
+    }
+    if (isSelf(state, *target)) {
+        refute(state, now, update);
+        return;
+    }
+    if (update.status == member_status::Alive) {
+        applyAlive(state, now, *target, update);
+    } else {
+        applyDoubt(state, now, *target, update);
+    }
+}
+
+void suspect(membership_state &state, time_point now, member &target)
+{
+    if (target.status != member_status::Alive || !isLive(target)) {
+        return;
+    }
+    const auto record = target.record;
+    setSuspect(state, now, target, record);
+    enqueue(state, target, false);
+}
+
+void expireSuspicions(membership_state &state, time_point now)
+{
+    std::erase_if(state.suspects, [&state, now](const std::string &name) {
+        auto *target = findMember(state, name);
+        if (target == nullptr || target->status != member_status::Suspect) {
+            return true;
+        }
+        if (now < target->deadline) {
+            return false;
+        }
+        const auto record = target->record;
+        replaceMember(state, now, *target, record, member_status::Dead);
+        target->deadline = now + state.options.deadRetention;
+        ++state.counters.deaths;
+        return true;
+    });
+}
+
+void removeExpired(membership_state &state, time_point now)
+{
+    for (std::size_t index{state.members.size()}; index-- > 1;) {
+        const auto &candidate = state.members[index];
+        if (!isLive(candidate) && now >= candidate.deadline) {
+            eraseMember(state, index);
+        }
+    }
+}
+
+} // namespace ragwortpin::internal
--- /dev/null
+++ b/src/ragwortpin/spread/message.h
@@ -0,0 +1,41 @@
+#ifndef RAGWORTPIN_SPREAD_MESSAGE_H
+#define RAGWORTPIN_SPREAD_MESSAGE_H
+
+#include "ragwortpin/membership/message.h"
+#include "ragwortpin/spread/fwd.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace ragwortpin {
+
+/** Announces the revision that is in force at the sender, and where its content can be had. */
+struct spread_message
+{
+    std::uint64_t revision{0};
+    /** TCP port of the sender's control calls. */
+    std::uint16_t peersPort{0};
+
+    bool operator==(const spread_message &) const = default;
+};
+
+/** A message to send. */
+struct spread_output
+{
+    peer_address to;
+    spread_message message;
+
+    bool operator==(const spread_output &) const = default;
+};
+
+/** Encodes a message as MessagePack. */
+[[nodiscard]] std::string encode(const spread_message &message);
+
+/** Decodes a message; nothing when the bytes are not a valid one. */
+[[nodiscard]] std::optional<spread_message> decodeSpreadMessage(std::string_view bytes);
+
+} // namespace ragwortpin
+
+#endif
--- /dev/null
+++ b/src/ragwortpin/spread/protocol.cpp
@@ -0,0 +1,305 @@
+#include "ragwortpin/spread/protocol.h"
+
+#include "ragwortpin/peers/error.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace ragwortpin {
+
+namespace {
+
+/** Poll intervals vary between half and one and a half times their mean, so that nodes do not fall into step. */
+duration drawPollInterval(const spread_state &state, std::size_t zoneSize, std::mt19937_64 &random)
+{
+    std::uniform_real_distribution<double> factor{0.5, 1.5};
+    const auto nodes = static_cast<double>(std::max<std::size_t>(zoneSize, 1));
+    return fromSeconds(toSeconds(state.options.zonePollInterval) * nodes * state.pollBackoff * factor(random));
+}
+
+void failPoll(spread_state &state, time_point now, std::size_t zoneSize, std::mt19937_64 &random)
+{
+    state.isPolling = false;
+    state.pollFailed = true;
+    ++state.counters.pollFailures;
+    state.pollBackoff = std::min(2 * state.pollBackoff, state.options.maxPollBackoff);
+    state.nextPoll = now + drawPollInterval(state, zoneSize, random);
+}
+
+bool tickPoll(spread_state &state, time_point now, std::size_t zoneSize, std::mt19937_64 &random)
+{
+    if (state.isPolling && now >= state.pollDeadline) {
+        failPoll(state, now, zoneSize, random);
+    }
+    if (state.isPolling || now < state.nextPoll) {
+        return false;
+    }
+    state.isPolling = true;
+    state.pollDeadline = now + state.options.pollTimeout;
+    ++state.counters.polls;
+    return true;
+}
+
+/** Stops following a peer for a time, because it did not prove what it claimed. */
+void penalise(spread_state &state, const std::string &peer, time_point notBefore)
+{
+    for (auto &claim : state.claims) {
+        if (claim.peer == peer) {
+            claim.notBefore = notBefore;
+        }
+    }
+}
+
+/** Ends a pull without content. The store is the last resort when one peer after the other fails. */
+void failPull(spread_state &state, time_point now, duration penalty)
+{
+    ++state.counters.pullFailures;
+    ++state.pullFailuresInRow;
+    penalise(state, state.pull->peer, now + penalty);
+    state.pull.reset();
+    if (state.pullFailuresInRow >= state.options.pullFailuresBeforePoll) {
+        state.pullFailuresInRow = 0;
+        state.nextPoll = std::min(state.nextPoll, now);
+    }
+}
+
+/** Whether content of a revision would be applied. */
+bool isAcceptable(const spread_state &state, std::uint64_t revision)
+{
+    return revision > state.inForce.revision && revision >= state.provenRevision;
+}
+
+/** The claim to follow next: of the own zone first, at random among equals. */
+const revision_claim *chooseClaim(const spread_state &state, time_point now, std::mt19937_64 &random)
+{
+    std::vector<const revision_claim *> usable;
+    for (const auto &claim : state.claims) {
+        if (now >= claim.notBefore && isAcceptable(state, claim.revision)) {
+            usable.push_back(&claim);
+        }
+    }
+    const auto isOwn = [](const revision_claim *claim) {
+        return claim->isInOwnZone;
+    };
+    const auto ownEnd = std::partition(usable.begin(), usable.end(), isOwn);
+    const auto end = ownEnd == usable.begin() ? usable.end() : ownEnd;
+    if (end == usable.begin()) {
+        return nullptr;
+    }
+    std::uniform_int_distribution<std::ptrdiff_t> distribution{0, end - usable.begin() - 1};
+    return usable[static_cast<std::size_t>(distribution(random))];
+}
+
+std::optional<pull_request> tickPull(spread_state &state, time_point now, std::mt19937_64 &random)
+{
+    if (state.pull && now >= state.pullDeadline) {
+        failPull(state, now, state.options.pullRetryDelay);
+    }
+    if (state.pull) {
+        return std::nullopt;
+    }
+    const auto *claim = chooseClaim(state, now, random);
+    if (claim == nullptr) {
+        return std::nullopt;
+    }
+    state.pull = pull_request{++state.lastPullId, claim->peer, claim->control, state.pullWhole ? 0 : state.inForce.revision};
+    state.pullDeadline = now + state.options.pullTimeout;
+    ++state.counters.pulls;
+    return state.pull;
+}
+
+std::vector<spread_output> tickAnnounce(spread_state &state, time_point now, std::span<const instance_record> peers)
+{
+    std::vector<spread_output> messages;
+    if (state.announceRoundsLeft == 0 || now < state.nextAnnounce || peers.empty()) {
+        return messages;
+    }
+    --state.announceRoundsLeft;
+    state.nextAnnounce = now + state.options.announceInterval;
+    for (const auto &peer : peers.first(std::min(peers.size(), state.options.announceFanout))) {
+        messages.push_back({{peer.address, peer.gossipPort}, {state.inForce.revision, state.peersPort}});
+        ++state.counters.announcements;
+    }
+    return messages;
+}
+
+std::optional<configuration_content> restore(const spread_state &state, const content_patch &patch)
+{
+    if (patch.baseRevision == 0) {
+        return applyPatch({}, patch);
+    }
+    return applyPatch(state.inForce, patch);
+}
+
+void trimHistory(spread_state &state)
+{
+    std::size_t bytes{0};
+    std::size_t kept{0};
+    for (const auto &content : state.history) {
+        bytes += content.text.size();
+        if (kept == state.options.maxHistory || bytes > state.options.maxHistoryBytes) {
+            break;
+        }
+        ++kept;
+    }
+    state.history.resize(kept);
+}
+
+} // namespace
+
+spread_state startSpread(time_point now, const spread_options &options, std::uint16_t peersPort, std::mt19937_64 &random)
+{
+    spread_state state;
+    state.options = options;
+    state.peersPort = peersPort;
+    std::uniform_int_distribution<duration::rep> delay{0, options.startSpread.count()};
+    state.nextPoll = now + options.startGrace + duration{delay(random)};
+    return state;
+}
+
+spread_actions
+tickSpread(spread_state &state, time_point now, std::size_t zoneSize, std::span<const instance_record> peers, std::mt19937_64 &random)
+{
+    spread_actions actions;
+    actions.poll = tickPoll(state, now, zoneSize, random);
+    actions.pull = tickPull(state, now, random);
+    actions.messages = tickAnnounce(state, now, peers);
+    return actions;
+}
+
+void noteClaim(spread_state &state, time_point now, const revision_claim &claim)
+{
+    const auto known = std::find_if(state.claims.begin(), state.claims.end(), [&claim](const revision_claim &candidate) {
+        return candidate.peer == claim.peer;
+    });
+    if (known != state.claims.end()) {
+        const auto notBefore = known->notBefore;
+        *known = claim;
+        known->notBefore = notBefore;
+        return;
+    }
+    if (claim.revision <= state.inForce.revision) {
+        return;
+    }
+    if (state.claims.size() >= state.options.maxClaims) {
+        const auto penalised = std::find_if(state.claims.begin(), state.claims.end(), [now](const revision_claim &candidate) {
+            return now < candidate.notBefore;
+        });
+        if (penalised == state.claims.end()) {
+            return;
+        }
+        state.claims.erase(penalised);
+    }
+    state.claims.push_back(claim);
+    state.claims.back().notBefore = time_point{};
+}
+
+std::optional<configuration_content> handlePullReply(spread_state &state, time_point now, const pull_reply &reply)
+{
+    if (!state.pull || state.pull->id != reply.id) {
+        return std::nullopt;
+    }
+    if (reply.error) {
+        failPull(state, now, state.options.pullRetryDelay);
+        return std::nullopt;
+    }
+    auto content = restore(state, reply.patch);
+    state.pullWhole = !content && reply.patch.baseRevision > 0;
+    if (!content || !isAcceptable(state, content->revision)) {
+        ++state.counters.unprovenClaims;
+        failPull(state, now, state.options.claimPenalty);
+        return std::nullopt;
+    }
+    state.lastProvider = state.pull->peer;
+    state.pull.reset();
+    state.pullFailuresInRow = 0;
+    return content;
+}
+
+std::optional<configuration_content>
+handleHeadReply(spread_state &state, time_point now, std::size_t zoneSize, const head_reply &reply, std::mt19937_64 &random)
+{
+    if (reply.error) {
+        if (state.isPolling) {
+            failPoll(state, now, zoneSize, random);
+        }
+        return std::nullopt;
+    }
+    state.isPolling = false;
+    state.pollFailed = false;
+    state.pollBackoff = 1;
+    state.isStoreEmpty = reply.revision == 0;
+    state.nextPoll = now + drawPollInterval(state, zoneSize, random);
+    state.provenRevision = std::max(state.provenRevision, reply.revision);
+    if (!reply.content || !isIntact(*reply.content) || !isAcceptable(state, reply.content->revision)) {
+        return std::nullopt;
+    }
+    state.lastProvider.clear();
+    return reply.content;
+}
+
+void noteApplied(spread_state &state, time_point now, configuration_content content)
+{
+    if (content.revision <= state.inForce.revision) {
+        return;
+    }
+    if (state.inForce.revision > 0) {
+        state.history.push_front(std::move(state.inForce));
+        trimHistory(state);
+    }
+    state.inForce = std::move(content);
+    state.provenRevision = std::max(state.provenRevision, state.inForce.revision);
+    state.announceRoundsLeft = state.options.announceRounds;
+    state.nextAnnounce = now;
+    ++state.counters.applied;
+    std::erase_if(state.claims, [&state, now](const revision_claim &claim) {
+        return claim.revision <= state.inForce.revision && now >= claim.notBefore;
+    });
+}
+
+void noteRejected(spread_state &state, time_point now)
+{
+    ++state.counters.rejected;
+    penalise(state, state.lastProvider, now + state.options.claimPenalty);
+}
+
+std::optional<content_patch> answerPull(const spread_state &state, std::uint64_t baseRevision)
+{
+    if (state.inForce.revision == 0) {
+        return std::nullopt;
+    }
+    for (const auto &content : state.history) {
+        if (content.revision == baseRevision) {
+            return makePatch(content, state.inForce);
+        }
+    }
+    return makePatch({}, state.inForce);
+}
+
+spread_status spreadStatus(const spread_state &state) noexcept
+{
+    if (state.inForce.revision > 0) {
+        return spread_status::InForce;
+    }
+    if (state.isStoreEmpty) {
+        return spread_status::NothingPublished;
+    }
+    return state.pollFailed ? spread_status::Unavailable : spread_status::Loading;
+}
+
+std::string_view describe(spread_status status) noexcept
+{
+    switch (status) {
+    case spread_status::InForce:
+        return "A configuration is in force.";
+    case spread_status::Loading:
+        return "No configuration yet; peers and the platform's store are being asked.";
+    case spread_status::Unavailable:
+        return "No configuration: no peer has one and the platform's store cannot be read; check the seeds and the store's address.";
+    case spread_status::NothingPublished:
+        return "No configuration was published; publish one.";
+    }
+    return {};
+}
+
+} // namespace ragwortpin
