--- /dev/null
+++ b/src/ragwortpin/rights/errors.cpp
@@ -0,0 +1,34 @@
+#include "ragwortpin/rights/errors.h"
+
+#include "ragwortpin/core/error_category.h"
+
+#include <array>
+
+namespace ragwortpin {
+
+namespace {
+
+constexpr std::array RightsErrorTexts{
+    error_text<rights_error>{rights_error::MessageTooLong,
+                             "the rights message exceeds 1200 bytes; check that all nodes run the same release"},
+    error_text<rights_error>{rights_error::MessageMalformed,
+                             "the rights message cannot be decoded; check that all nodes run the same release"},
+    error_text<rights_error>{rights_error::RecordMalformed,
+                             "a slot record cannot be read; delete its key so that a node can take the slot after the lapse"},
+};
+
+const error_category<rights_error, RightsErrorTexts.size()> RightsCategory{"ragwortpin.rights", RightsErrorTexts};
+
+} // namespace
+
+const std::error_category &rightsCategory() noexcept
+{
+    return RightsCategory;
+}
+
+std::error_code make_error_code(rights_error error) noexcept
+{
+    return {static_cast<int>(error), rightsCategory()};
+}
+
+} // namespace ragwortpin
