Share workspace rates by conserved rights inside and between availability zones

Cause: a workspace's rate and burst must hold over all instances together, also while parts of the fleet are cut off. Ruled out: a counter in the store (a call for each token), gossiped counters (they over-issue in a partition). Conclusion: slots owned by compare-and-swap, loans to a pool of the zone, and batches from the pools of all zones, each with a term after which the lender may use its rights again.

--- a/src/ragwortpin/rights/bucket.h
+++ b/src/ragwortpin/rights/bucket.h
@@ -4,6 +4,7 @@
 #include "ragwortpin/core/time.h"
 #include "ragwortpin/rights/fwd.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -71,8 +72,8 @@
     time_point updatedAt;
 };
 
-/** Adds the tokens due since the last update, drops what has expired and applies the cap. Returns the rights that expired. */
-std::vector<held_right> updateBucket(token_bucket &bucket, time_point now);
+/** Adds the tokens due since the last update, drops what has expired and applies the cap. Returns how many rights expired. */
+std::size_t updateBucket(token_bucket &bucket, time_point now);
 
 /** Takes one token; false when there is none. The bucket is updated first. */
 [[nodiscard]] bool takeFromBucket(token_bucket &bucket, time_point now);
--- a/src/ragwortpin/rights/messages.h
+++ b/src/ragwortpin/rights/messages.h
@@ -133,6 +133,8 @@
     std::string workspace;
     std::uint64_t number{0};
     std::uint64_t askerIncarnation{0};
+    /** Earlier tokens that the pool still counts as the asker's; the asker drops any beyond. */
+    std::uint32_t kept{0};
     std::uint32_t tokens{0};
     time_point sentAt;
     /** Time until the pool expects to have a token again; zero when it gave all that was wanted. */
--- a/src/ragwortpin/rights/rights.h
+++ b/src/ragwortpin/rights/rights.h
@@ -15,6 +15,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <random>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -95,11 +97,20 @@
     std::uint32_t unanswered{0};
     /** Until when the pool is not asked, because it was dry or did not answer. */
     time_point quietUntil;
+    /** Last time for which it was left alone as dry; doubles while it stays dry. */
+    duration quiet{0};
     /** Tokens that the pool counts as held by this node. */
     std::uint32_t reported{0};
     time_point usedAt;
 };
 
+/** A loan that was asked for. */
+struct pending_loan
+{
+    std::string lender;
+    std::uint32_t attempts{0};
+};
+
 /** Everything that a node knows of one workspace's rights. */
 struct workspace_rights
 {
@@ -114,9 +125,11 @@
     std::uint32_t waiting{0};
     /** Latest loan number seen from each borrower, with its incarnation. */
     std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> lastLoanNumbers;
-    /** Loans asked for and not yet answered: lender by number. */
-    std::map<std::uint64_t, std::string> pendingLoans;
+    /** Loans asked for and not yet answered, by number. */
+    std::map<std::uint64_t, pending_loan> pendingLoans;
     time_point offeredAt;
+    /** Whether the workspace is in the configuration; a removed one is kept until nothing of it is out. */
+    bool configured{false};
 };
 
 /** Whole state of the rate limiter of one node. Used from one thread. */
@@ -131,6 +144,10 @@
     std::uint64_t nextNumber{1};
     time_point tickedAt;
     time_point renewedAt;
+    /** When a slot that is not yet usable becomes so. */
+    std::optional<time_point> refreshAt;
+    /** Random numbers for the choice of free slots and the spread of store calls. */
+    std::mt19937_64 random;
     bool leaving{false};
     rights_output outbox;
     rights_counters counters;
--- a/src/ragwortpin/rights/slots.h
+++ b/src/ragwortpin/rights/slots.h
@@ -1,8 +1,10 @@
 #ifndef RAGWORTPIN_RIGHTS_SLOTS_H
 #define RAGWORTPIN_RIGHTS_SLOTS_H
 
+#include "ragwortpin/config/model.h"
 #include "ragwortpin/core/time.h"
 #include "ragwortpin/platform/store.h"
+#include "ragwortpin/rights/apportion.h"
 #include "ragwortpin/rights/errors.h"
 #include "ragwortpin/rights/fwd.h"
 #include "ragwortpin/rights/settings.h"
@@ -74,11 +76,15 @@
     time_point usableUntil;
     /** Start of use: later than the call that took the slot when a predecessor's loans may be out. */
     time_point usableFrom;
-    /** Whether the shares of the record's digest may be used in full. */
+    /** Whether all owners were seen limited to the shares in force; until then the least of the shares below is used. */
     bool settled{false};
+    /** Shares used before, oldest first; empty for a slot taken since, which is not used until it is settled. */
+    std::vector<std::vector<availability_zone>> earlierShares;
     /** Earliest time at which a lowered share may be recorded, after loans of the higher one have ended. */
     time_point restampAt;
-    bool releasing{false};
+    time_point nextConfirmAt;
+    /** Whether the answer to the last write was lost, so that the record may still change under this owner. */
+    bool writeUnknown{false};
 };
 
 /** Purpose of a store call under way. */
@@ -108,12 +114,24 @@
     std::map<std::uint64_t, slot_call> calls;
     /** Digest of the shares in force at this node. */
     std::uint64_t sharesDigest{0};
+    std::vector<availability_zone> shares;
     time_point nextReadAt;
-    /** Counts writes of this node, so that a read counts as settled only when no write overlaps it. */
-    time_point lastWriteAnsweredAt;
-    bool hasRead{false};
+    /** A read shows settled shares only if it began after every write of this node was answered. */
+    time_point lastWriteAt;
 };
 
+/** Takes new shares. Slots are limited to the lesser of the old and the new until all owners have recorded the new ones. */
+void changeShares(rights_state &state, const std::vector<availability_zone> &shares, time_point now);
+
+/** Part of a workspace that a slot of this node may use now. */
+[[nodiscard]] slot_share usableShare(const rights_state &state, const owned_slot &slot, const workspace &workspace, time_point now);
+
+/** Starts the store calls that are due: reading, taking, confirming, releasing. */
+void tickSlots(rights_state &state, time_point now);
+
+/** Handles the reply to a slot's store call. Returns whether the slots of this node changed. */
+[[nodiscard]] bool onSlotReply(rights_state &state, std::uint64_t token, const store_reply &reply, time_point now);
+
 } // namespace ragwortpin
 
 #endif
--- /dev/null
+++ b/src/ragwortpin/rights/wire.h
@@ -0,0 +1,195 @@
+#ifndef RAGWORTPIN_RIGHTS_WIRE_H
+#define RAGWORTPIN_RIGHTS_WIRE_H
+
+#include "ragwortpin/core/time.h"
+
+#include <msgpack.hpp>
+
+#include <cmath>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <type_traits>
+#include <vector>
+
+namespace ragwortpin::internal {
+
+/** Limits of one decoded value. */
+struct wire_limits
+{
+    std::size_t items{16};
+    std::size_t nameBytes{128};
+    std::size_t depth{6};
+};
+
+/** Thrown inside the codec only, when a value has another type than expected or exceeds a limit. */
+struct wire_mismatch
+{ };
+
+using wire_packer = msgpack::packer<msgpack::sbuffer>;
+
+template<typename Value>
+concept wire_struct = requires(Value &value)
+{
+    wireFields(value);
+};
+
+template<typename Value>
+struct is_vector : std::false_type
+{ };
+
+template<typename Item>
+struct is_vector<std::vector<Item>> : std::true_type
+{ };
+
+/** Packs a scalar, a string, a list, or a struct whose fields wireFields() names. */
+template<typename Value>
+void packValue(wire_packer &packer, const Value &value)
+{
+    if constexpr (std::is_same_v<Value, time_point>) {
+        packer.pack(value.time_since_epoch().count());
+    } else if constexpr (std::is_same_v<Value, duration>) {
+        packer.pack(value.count());
+    } else if constexpr (is_vector<Value>::value) {
+        packer.pack_array(static_cast<std::uint32_t>(value.size()));
+        for (const auto &item : value) {
+            packValue(packer, item);
+        }
+    } else if constexpr (wire_struct<const Value>) {
+        const auto fields = wireFields(value);
+        packer.pack_array(std::tuple_size_v<decltype(fields)>);
+        std::apply(
+            [&packer](const auto &...field) {
+                (packValue(packer, field), ...);
+            },
+            fields);
+    } else {
+        packer.pack(value);
+    }
+}
+
+inline const msgpack::object_array &expectArray(const msgpack::object &object, std::size_t size)
+{
+    if (object.type != msgpack::type::ARRAY || object.via.array.size != size) {
+        throw wire_mismatch{};
+    }
+    return object.via.array;
+}
+
+template<typename Value>
+void unpackValue(const msgpack::object &object, Value &value, const wire_limits &limits);
+
+template<typename Integer>
+void unpackInteger(const msgpack::object &object, Integer &value)
+{
+    if (object.type != msgpack::type::POSITIVE_INTEGER && object.type != msgpack::type::NEGATIVE_INTEGER) {
+        throw wire_mismatch{};
+    }
+    value = object.as<Integer>();
+}
+
+template<typename Item>
+void unpackList(const msgpack::object &object, std::vector<Item> &list, const wire_limits &limits)
+{
+    if (object.type != msgpack::type::ARRAY || object.via.array.size > limits.items) {
+        throw wire_mismatch{};
+    }
+    list.resize(object.via.array.size);
+    for (std::size_t index{0}; index < list.size(); ++index) {
+        unpackValue(object.via.array.ptr[index], list[index], limits);
+    }
+}
+
+inline void unpackText(const msgpack::object &object, std::string &text, const wire_limits &limits)
+{
+    if (object.type != msgpack::type::STR || object.via.str.size > limits.nameBytes) {
+        throw wire_mismatch{};
+    }
+    text.assign(object.via.str.ptr, object.via.str.size);
+}
+
+inline void unpackNumber(const msgpack::object &object, double &value)
+{
+    if (object.type != msgpack::type::FLOAT64) {
+        throw wire_mismatch{};
+    }
+    value = object.via.f64;
+    if (!std::isfinite(value) || value < 0.0) {
+        throw wire_mismatch{};
+    }
+}
+
+/** Reads a value; throws wire_mismatch or msgpack::type_error when the input does not fit. */
+template<typename Value>
+void unpackValue(const msgpack::object &object, Value &value, const wire_limits &limits)
+{
+    if constexpr (std::is_same_v<Value, time_point>) {
+        std::int64_t count{0};
+        unpackInteger(object, count);
+        value = time_point{duration{count}};
+    } else if constexpr (std::is_same_v<Value, duration>) {
+        std::int64_t count{0};
+        unpackInteger(object, count);
+        value = duration{count};
+    } else if constexpr (std::is_same_v<Value, std::string>) {
+        unpackText(object, value, limits);
+    } else if constexpr (std::is_same_v<Value, double>) {
+        unpackNumber(object, value);
+    } else if constexpr (std::is_same_v<Value, bool>) {
+        if (object.type != msgpack::type::BOOLEAN) {
+            throw wire_mismatch{};
+        }
+        value = object.via.boolean;
+    } else if constexpr (is_vector<Value>::value) {
+        unpackList(object, value, limits);
+    } else if constexpr (wire_struct<Value>) {
+        auto fields = wireFields(value);
+        const auto &array = expectArray(object, std::tuple_size_v<decltype(fields)>);
+        std::apply(
+            [&](auto &...field) {
+                std::size_t index{0};
+                (unpackValue(array.ptr[index++], field, limits), ...);
+            },
+            fields);
+    } else {
+        unpackInteger(object, value);
+    }
+}
+
+/** Encodes a struct whose fields wireFields() names. */
+template<typename Value>
+[[nodiscard]] std::string encodeStruct(const Value &value)
+{
+    msgpack::sbuffer buffer;
+    wire_packer packer{buffer};
+    packValue(packer, value);
+    return {buffer.data(), buffer.size()};
+}
+
+/** Unpacks bytes within the limits and calls the reader with the root object. Returns false on any malformed input. */
+template<typename Reader>
+[[nodiscard]] bool decodeBytes(std::string_view bytes, const wire_limits &limits, Reader &&reader)
+{
+    try {
+        const msgpack::unpack_limit unpackLimit{limits.items, 0, limits.nameBytes, 0, 0, limits.depth};
+        std::size_t offset{0};
+        const auto handle = msgpack::unpack(bytes.data(), bytes.size(), offset, nullptr, nullptr, unpackLimit);
+        if (offset != bytes.size()) {
+            return false;
+        }
+        reader(handle.get());
+        return true;
+    } catch (const wire_mismatch &) {
+        return false;
+    } catch (const msgpack::unpack_error &) {
+        return false;
+    } catch (const msgpack::type_error &) {
+        return false;
+    }
+}
+
+} // namespace ragwortpin::internal
+
+#endif
