--- a/src/ragwortpin/callers/caller_gateway.cpp
+++ b/src/ragwortpin/callers/caller_gateway.cpp
@@ -1,6 +1,7 @@
 #include "ragwortpin/callers/caller_gateway.h"
 
 #include "ragwortpin/identity/credentials.h"
+#include "ragwortpin/identity/digest.h"
 #include "ragwortpin/retries/allowance.h"
 
 namespace ragwortpin {
@@ -19,7 +20,7 @@
 
 authentication authenticate(const configuration_index &index, const route &definition, const std::string &secret)
 {
-    const auto *key = secret.empty() ? nullptr : findKey(index, sha256Of(secret));
+    const auto *key = secret.empty() ? nullptr : findKey(index, sha256Hex(secret));
     if (key != nullptr) {
         return {std::nullopt, workspaceOf(index, *key).name};
     }
@@ -112,7 +113,7 @@
         co_return refuse(refusal_kind::Overloaded, OverloadPause);
     }
     if (!identity.workspace.empty()) {
-        const auto token = co_await m_services.takeToken(identity.workspace);
+        const auto token = co_await m_services.takeToken(identity.workspace, call.control);
         if (!token.admitted) {
             co_return refuse(refusal_kind::RateExceeded, token.retryAfter);
         }
--- a/src/ragwortpin/callers/caller_gateway.h
+++ b/src/ragwortpin/callers/caller_gateway.h
@@ -38,13 +38,14 @@
  */
 [[nodiscard]] authentication authenticate(const configuration_index &index, const route &definition, const std::string &secret);
 
-/** Takes one token of a workspace's rate; waits for it a short time if needed. */
+/** Whether a request may run now under the rate of its workspace. */
 struct rate_answer
 {
     bool admitted{false};
     duration retryAfter{0};
 };
-using rate_limiter = std::function<boost::asio::awaitable<rate_answer>(const std::string &workspace)>;
+/** Takes one token of a workspace; waits for it a short time if needed. */
+using rate_limiter = std::function<boost::asio::awaitable<rate_answer>(std::string workspace, std::shared_ptr<call_control> control)>;
 
 /** Runs a call of a once-route under a claim on its Idempotency-Key. */
 using once_runner = std::function<boost::asio::awaitable<call_answer>(inbound_call)>;
--- /dev/null
+++ b/src/ragwortpin/node/data_plane.cpp
@@ -0,0 +1,305 @@
+#include "ragwortpin/node/data_plane.h"
+
+#include "ragwortpin/peers/control_server.h"
+
+#include <random>
+
+namespace ragwortpin {
+
+namespace {
+
+constexpr std::size_t ControlEvents{4096};
+constexpr std::size_t OperatorEvents{64};
+constexpr std::size_t PlatformEvents{256};
+constexpr milliseconds QueueTick{5};
+constexpr milliseconds StateTick{100};
+constexpr seconds ForgetTick{5};
+constexpr const char *ControlSignatureField{"Ragwortpin-Signature"};
+
+rights_settings toRightsSettings(const node_settings &settings)
+{
+    rights_settings result;
+    result.slotsPerZone = settings.rateSlots;
+    result.slotLapse = settings.rateSlotLapse;
+    return result;
+}
+
+std::uint64_t randomSeed()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+rights_identity toRightsIdentity(const node_settings &settings)
+{
+    const auto &peers = settings.addresses.peers;
+    return {.name = settings.instance,
+            .availabilityZone = settings.availabilityZone,
+            .address = peers.address + ':' + std::to_string(peers.port),
+            .incarnation = randomSeed()};
+}
+
+} // namespace
+
+data_plane::data_plane(const node_settings &settings,
+                       const signing_keys &keys,
+                       const snapshot<configuration_index> &configuration,
+                       metrics_registry &metrics,
+                       data_plane_services services)
+    : fromControl{m_context,
+                  ControlEvents,
+                  [this](control_event event) {
+                      handle(std::move(event));
+                  }}
+    , fromOperators{m_context,
+                    OperatorEvents,
+                    [this](operator_event event) {
+                        handle(std::move(event));
+                    }}
+    , fromPlatform{m_context,
+                   PlatformEvents,
+                   [this](const rate_reply_event &event) {
+                       m_rates.receiveReply(event.token, event.reply);
+                   }}
+    , m_settings{settings}
+    , m_keys{keys}
+    , m_configuration{configuration}
+    , m_services{std::move(services)}
+    , m_timer{m_context}
+    , m_client{m_context, settings.limits}
+    , m_directory{settings.availabilityZone}
+    , m_target{m_context, m_client, metrics, m_services.spans}
+    , m_dispatcher{{settings.instance, keys},
+                   m_client,
+                   m_directory,
+                   metrics,
+                   [this](inbound_call call) {
+                       return runLocally(std::move(call));
+                   },
+                   randomSeed()}
+    , m_rates{m_context, toRightsSettings(settings), toRightsIdentity(settings), m_services.rates, metrics}
+    , m_callerServices{configuration,
+                       m_dispatcher,
+                       [this](std::string workspace, std::shared_ptr<call_control> control) {
+                           return m_rates.take(std::move(workspace), std::move(control));
+                       },
+                       m_services.makeOnceRunner(m_context, m_dispatcher),
+                       m_services.spans}
+    , m_callers{m_callerServices, metrics, settings.sampleRatio, randomSeed()}
+    , m_egress{m_callerServices, m_callers, m_target.inFlight(), metrics}
+    , m_forward{{settings.instance, keys},
+                configuration,
+                [this](inbound_call call) {
+                    return runLocally(std::move(call));
+                },
+                metrics}
+    , m_callerServer{m_context,
+                     settings.limits,
+                     [this](http_request request, std::shared_ptr<call_control> control) {
+                         return m_callers.serve(std::move(request), std::move(control));
+                     },
+                     [this](refusal_kind kind) {
+                         m_callers.observeRefusal(kind);
+                     }}
+    , m_egressServer{m_context,
+                     settings.limits,
+                     [this](http_request request, std::shared_ptr<call_control> control) {
+                         return m_egress.serve(std::move(request), std::move(control));
+                     },
+                     [this](refusal_kind kind) {
+                         m_callers.observeRefusal(kind);
+                     }}
+    , m_peerServer{m_context,
+                   settings.limits,
+                   [this](http_request request, std::shared_ptr<call_control> control) {
+                       return servePeer(std::move(request), std::move(control));
+                   },
+                   [](refusal_kind) {
+                   }}
+{
+    metrics.gauge("ragwortpin_mailbox_rejected", [this] {
+        return static_cast<double>(fromControl.rejected() + fromOperators.rejected() + fromPlatform.rejected());
+    });
+}
+
+std::string data_plane::listen()
+{
+    struct listener {
+        const char *name;
+        http_server &server;
+        const endpoint &address;
+    };
+    const auto &addresses = m_settings.addresses;
+    const std::array listeners{listener{"callers", m_callerServer, addresses.callers},
+                               listener{"egress", m_egressServer, addresses.egress},
+                               listener{"peers", m_peerServer, addresses.peers}};
+    for (const auto &entry : listeners) {
+        const auto error = entry.server.listen(entry.address);
+        if (error) {
+            return std::string{entry.name} + " " + entry.address.address + ':' + std::to_string(entry.address.port) + ": " + error.message();
+        }
+    }
+    return {};
+}
+
+void data_plane::run()
+{
+    subscribeTimers();
+    armTimer();
+    m_context.run();
+}
+
+void data_plane::stop()
+{
+    m_context.stop();
+}
+
+void data_plane::handle(control_event event)
+{
+    const auto now = monotonicNow();
+    if (const auto *configured = std::get_if<configuration_event>(&event)) {
+        m_directory.updateConfiguration(configured->index->value);
+        m_rates.updateConfiguration({configured->index, &configured->index->value});
+        updateOwnRecord();
+    } else if (const auto *members = std::get_if<membership_event>(&event)) {
+        m_directory.updateMembers(*members->view, now);
+        m_rates.updateMembers(members->view);
+    } else if (const auto *loan = std::get_if<loan_event>(&event)) {
+        m_rates.receive(loan->sender, loan->payload);
+    }
+}
+
+void data_plane::handle(operator_event event)
+{
+    if (const auto *announcement = std::get_if<target_announcement>(&event)) {
+        const bool returned = m_targetDraining && !m_shutdownStarted;
+        if (returned) {
+            m_targetDraining = false;
+            m_target.stopDraining();
+        }
+        m_target.announce(*announcement, monotonicNow());
+        updateOwnRecord();
+    } else if (std::holds_alternative<drain_event>(event)) {
+        m_targetDraining = true;
+        m_target.startDraining();
+        updateOwnRecord();
+    } else if (std::holds_alternative<shutdown_event>(event)) {
+        startShutdown();
+    }
+}
+
+void data_plane::subscribeTimers()
+{
+    const auto now = monotonicNow();
+    m_timers.subscribe(now, QueueTick, [this](time_point at) {
+        m_target.expireQueued(at);
+    });
+    m_timers.subscribe(now, rate_driver::TickInterval, [this](time_point) {
+        m_rates.tick();
+    });
+    m_timers.subscribe(now, StateTick, [this](time_point at) {
+        updateOwnRecord();
+        advanceShutdown(at);
+    });
+    m_timers.subscribe(now, ForgetTick, [this](time_point at) {
+        m_dispatcher.forgetOld(at);
+    });
+}
+
+void data_plane::armTimer()
+{
+    m_timer.expires_after(QueueTick);
+    m_timer.async_wait([this](boost::system::error_code error) {
+        if (!error) {
+            m_timers.advance(monotonicNow());
+            armTimer();
+        }
+    });
+}
+
+void data_plane::updateOwnRecord()
+{
+    const auto &announced = m_target.announced();
+    instance_state state{instance_state::Starting};
+    if (m_finished) {
+        state = instance_state::Gone;
+    } else if (m_targetDraining || m_shutdownStarted) {
+        state = instance_state::Draining;
+    } else if (announced && m_configuration.load()) {
+        state = instance_state::Ready;
+    }
+    m_state.store(state);
+    instance_record record{.name = m_settings.instance,
+                           .availabilityZone = m_settings.availabilityZone,
+                           .service = announced ? announced->service : std::string{},
+                           .address = m_settings.addresses.peers.address,
+                           .peersPort = m_settings.addresses.peers.port,
+                           .gossipPort = m_settings.addresses.gossip.port,
+                           .state = state,
+                           .slots = announced ? announced->slots : 0,
+                           .connections = announced ? announced->connections : 0};
+    if (record != m_announced && m_services.announceSelf(record)) {
+        m_announced = std::move(record);
+    }
+}
+
+void data_plane::startShutdown()
+{
+    if (m_shutdownStarted) {
+        return;
+    }
+    m_shutdownStarted = monotonicNow();
+    m_target.startDraining();
+    m_callerServer.startDraining();
+    m_peerServer.startDraining();
+    m_rates.leave();
+    updateOwnRecord();
+}
+
+void data_plane::advanceShutdown(time_point now)
+{
+    if (!m_shutdownStarted || m_finished) {
+        return;
+    }
+    const auto elapsed = now - *m_shutdownStarted;
+    if (elapsed < m_settings.shutdown.announce) {
+        return;
+    }
+    if (!m_listenersClosed) {
+        m_listenersClosed = true;
+        m_callerServer.closeIdle();
+    }
+    const bool idle = requestsInFlight() == 0;
+    const bool late = elapsed >= m_settings.shutdown.announce + m_settings.shutdown.finish;
+    if ((idle && m_rates.left()) || late) {
+        m_finished = true;
+        updateOwnRecord();
+        m_services.finished();
+    }
+}
+
+std::size_t data_plane::requestsInFlight() const
+{
+    return m_callerServer.requestsInFlight() + m_egressServer.requestsInFlight() + m_peerServer.requestsInFlight() + m_target.requests();
+}
+
+boost::asio::awaitable<call_answer> data_plane::runLocally(inbound_call call)
+{
+    const auto index = m_configuration.load();
+    const auto *workspace = index ? findWorkspace(*index, call.context.workspace) : nullptr;
+    return m_target.run(std::move(call), workspace == nullptr ? 1.0 : workspace->weight);
+}
+
+boost::asio::awaitable<http_response> data_plane::servePeer(http_request request, std::shared_ptr<call_control> control)
+{
+    if (request.method() != http::verb::post || toStd(request.target()) != ControlPath || request.count(toBeast(field::Context)) > 0) {
+        co_return co_await m_forward.serve(std::move(request), std::move(control));
+    }
+    const datagram_secrets secrets{m_keys.secrets.front(), m_keys.secrets.size() > 1 ? m_keys.secrets[1] : std::string{}};
+    const auto answer = answerControlCall(m_services.controlMethods(), secrets, request.body(), toStd(request[ControlSignatureField]));
+    auto response = makeResponse(static_cast<http::status>(answer.httpStatus), "application/json", answer.body);
+    response.set(ControlSignatureField, answer.signature);
+    co_return response;
+}
+
+} // namespace ragwortpin
