Call the store over the etcd gateway and publish by compare-and-swap

Cause: nodes and operators read the configuration from the platform's store and operators race each other and outages when they publish.

Ruled out: sending a transaction to a second endpoint after any byte of it left, which could do it twice; comparing only the end states when rebasing, which loses a change that another operator took back on purpose.

--- a/src/ragwortpin/config/error.cpp
+++ b/src/ragwortpin/config/error.cpp
@@ -17,6 +17,7 @@
     error_text<config_errc>{config_errc::NotPublished, "no configuration was published yet; publish one with 'ragwortpinctl publish FILE'"},
     error_text<config_errc>{config_errc::Pruned,
                             "the revision is not kept; list the kept ones with 'ragwortpinctl history' and ask for one of them"},
+    error_text<config_errc>{config_errc::Contended, "other operators published each time before this publication could; run it again"},
 };
 
 } // namespace internal
--- a/src/ragwortpin/config/error.h
+++ b/src/ragwortpin/config/error.h
@@ -13,6 +13,7 @@
     WrongBase,
     NotPublished,
     Pruned,
+    Contended,
 };
 
 /** Returns the category of config_errc. */
--- a/src/ragwortpin/config/serialise.cpp
+++ b/src/ragwortpin/config/serialise.cpp
@@ -2,48 +2,15 @@
 
 #include "ragwortpin/config/error.h"
 #include "ragwortpin/config/limits.h"
+#include "ragwortpin/config/msgpack_fields.h"
 
-#include <msgpack.hpp>
-
-#include <algorithm>
 #include <cstdint>
-#include <stdexcept>
 #include <vector>
 
 namespace ragwortpin {
 
 namespace internal {
 
-constexpr unsigned FormatVersion{1};
-/** Most entries of one list; an encoding within the size limit holds fewer. */
-constexpr std::size_t MaximumDecodedElements{100'000};
-constexpr std::size_t MaximumDecodedDepth{8};
-
-using packer = msgpack::packer<msgpack::sbuffer>;
-
-/** Raised for an array that is shorter than its fields or another type, and for unknown kinds. */
-struct malformed_encoding : std::runtime_error
-{
-    malformed_encoding()
-        : std::runtime_error{"malformed encoding"}
-    { }
-};
-
-/** Raised for a format that this release does not know. */
-struct unknown_format : std::runtime_error
-{
-    unknown_format()
-        : std::runtime_error{"unknown format"}
-    { }
-};
-
-template<typename... Fields>
-void packFields(packer &output, const Fields &...fields)
-{
-    output.pack_array(sizeof...(Fields));
-    (output.pack(fields), ...);
-}
-
 void packObject(packer &output, const availability_zone &item)
 {
     packFields(output, item.name, item.region, item.share);
@@ -83,37 +50,6 @@
                static_cast<std::int64_t>(item.deadline.count()));
 }
 
-/** Reads the fields of one array in order. Further fields, of a later release, are passed over. */
-class field_cursor
-{
-public:
-    explicit field_cursor(const msgpack::object &array)
-        : m_array{array}
-    {
-        if (array.type != msgpack::type::ARRAY) {
-            throw malformed_encoding{};
-        }
-    }
-
-    const msgpack::object &next()
-    {
-        if (m_position >= m_array.via.array.size) {
-            throw malformed_encoding{};
-        }
-        return m_array.via.array.ptr[m_position++];
-    }
-
-    template<typename Value>
-    void read(Value &value)
-    {
-        next().convert(value);
-    }
-
-private:
-    const msgpack::object &m_array;
-    std::uint32_t m_position{0};
-};
-
 void unpackObject(field_cursor &input, availability_zone &item)
 {
     input.read(item.name);
@@ -178,9 +114,8 @@
 {
     field_cursor kinds{input};
     visitObjects(value, [&kinds]<typename Object>(object_kind, std::vector<Object> &objects) {
-        const auto &list = kinds.next();
-        field_cursor items{list};
-        objects.resize(list.via.array.size);
+        field_cursor items{kinds.next()};
+        objects.resize(items.size());
         for (auto &object : objects) {
             field_cursor fields{items.next()};
             unpackObject(fields, object);
@@ -192,7 +127,7 @@
 void unpackRemoved(const msgpack::object &list, std::vector<object_ref> &removed)
 {
     field_cursor items{list};
-    removed.resize(list.via.array.size);
+    removed.resize(items.size());
     for (auto &ref : removed) {
         field_cursor fields{items.next()};
         unsigned kind{0};
@@ -205,46 +140,6 @@
     }
 }
 
-void readVersion(field_cursor &input)
-{
-    unsigned version{0};
-    input.read(version);
-    if (version != FormatVersion) {
-        throw unknown_format{};
-    }
-}
-
-/** Unpacks bytes and calls read(cursor over the outer array); reports every failure as an error. */
-template<typename Value, typename Read>
-std::optional<Value> decode(std::string_view bytes, std::error_code &error, const Read &read)
-{
-    try {
-        const auto elements = std::min(bytes.size(), MaximumDecodedElements);
-        const msgpack::unpack_limit limit{elements, elements, limits::EncodedBytes, limits::EncodedBytes, 0, MaximumDecodedDepth};
-        std::size_t offset{0};
-        const auto handle = msgpack::unpack(bytes.data(), bytes.size(), offset, nullptr, nullptr, limit);
-        if (offset != bytes.size()) {
-            throw malformed_encoding{};
-        }
-        field_cursor cursor{handle.get()};
-        readVersion(cursor);
-        Value value;
-        read(cursor, value);
-        error.clear();
-        return value;
-    } catch (const unknown_format &) {
-        error = config_errc::UnknownFormat;
-    } catch (const std::exception &) {
-        error = config_errc::Malformed;
-    }
-    return std::nullopt;
-}
-
-std::string toString(const msgpack::sbuffer &buffer)
-{
-    return {buffer.data(), buffer.size()};
-}
-
 } // namespace internal
 
 std::string encodeConfiguration(const configuration &value)
--- /dev/null
+++ b/src/ragwortpin/platform/etcd_client.cpp
@@ -0,0 +1,134 @@
+#include "ragwortpin/platform/etcd_client.h"
+
+#include "ragwortpin/http/client_pool.h"
+#include "ragwortpin/platform/error.h"
+#include "ragwortpin/platform/etcd_codec.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/beast/core/error.hpp>
+
+#include <cstddef>
+#include <exception>
+#include <utility>
+
+namespace ragwortpin {
+
+namespace internal {
+
+/** Largest answer: a range over values of a megabyte each, in base64. */
+constexpr std::uint64_t AnswerBytes{16UL * 1024 * 1024};
+
+http_request makeHttpRequest(const endpoint &server, const etcd_call &call)
+{
+    constexpr unsigned Http11{11};
+    http_request request{http::verb::post, call.path, Http11};
+    request.set(http::field::host, server.address + ":" + std::to_string(server.port));
+    request.set(http::field::content_type, "application/json");
+    request.body() = call.body;
+    request.prepare_payload();
+    return request;
+}
+
+http_limits answerLimits()
+{
+    http_limits limits;
+    limits.responseBodyBytes = AnswerBytes;
+    return limits;
+}
+
+/** Names the failure of an exchange that was sent. */
+platform_errc failureAfterSending(const boost::system::error_code &error)
+{
+    const bool timedOut
+        = error == boost::beast::error::timeout || error == boost::asio::error::operation_aborted || error == boost::asio::error::timed_out;
+    return timedOut ? platform_errc::TimedOut : platform_errc::AnswerLost;
+}
+
+} // namespace internal
+
+/** Connections with the private event loop that drives them. */
+class etcd_client::connection
+{
+public:
+    explicit connection(etcd_settings settings)
+        : m_settings{std::move(settings)}
+        , m_pool{m_context, internal::answerLimits()}
+    { }
+
+    store_reply call(const store_request &request)
+    {
+        const auto encoded = encodeCall(request);
+        const bool isRead = std::holds_alternative<store_range>(request);
+        const auto deadline = monotonicNow() + m_settings.timeout;
+        store_reply reply;
+        reply.error = platform_errc::Unreachable;
+        const auto count = m_settings.endpoints.size();
+        const auto first = m_preferred;
+        for (std::size_t attempt{0}; attempt < count; ++attempt) {
+            const auto position = (first + attempt) % count;
+            const auto share = (deadline - monotonicNow()) / static_cast<duration::rep>(count - attempt);
+            const auto result = exchange(m_settings.endpoints[position], encoded, monotonicNow() + share);
+            if (result.progress == exchange_progress::NotSent) {
+                continue;
+            }
+            if (result.progress == exchange_progress::Answered) {
+                m_preferred = position;
+                reply = decodeAnswer(request, result.response->result_int(), result.response->body());
+            } else {
+                reply.error = internal::failureAfterSending(result.error);
+            }
+            if (!reply.error || !isRead) {
+                return reply;
+            }
+        }
+        return reply;
+    }
+
+private:
+    exchange_result exchange(const endpoint &server, const etcd_call &call, time_point deadline)
+    {
+        exchange_result result;
+        const auto run = [&]() -> boost::asio::awaitable<void> {
+            auto control = std::make_shared<call_control>();
+            result = co_await m_pool.exchange(server, internal::makeHttpRequest(server, call), deadline, std::move(control));
+        };
+        m_context.restart();
+        boost::asio::co_spawn(m_context, run, [&result](const std::exception_ptr &failure) {
+            if (failure) {
+                result.progress = exchange_progress::Sent;
+                result.error = boost::asio::error::connection_aborted;
+            }
+        });
+        m_context.run();
+        return result;
+    }
+
+    etcd_settings m_settings;
+    boost::asio::io_context m_context;
+    http_client_pool m_pool;
+    /** Position of the endpoint that answered last. */
+    std::size_t m_preferred{0};
+};
+
+etcd_client::etcd_client(etcd_settings settings)
+    : m_connection{std::make_unique<connection>(std::move(settings))}
+{ }
+
+etcd_client::~etcd_client() = default;
+
+store_reply etcd_client::call(const store_request &request)
+{
+    return m_connection->call(request);
+}
+
+store_call makeStoreCall(etcd_settings settings)
+{
+    auto client = std::make_shared<etcd_client>(std::move(settings));
+    return [client](const store_request &request) {
+        return client->call(request);
+    };
+}
+
+} // namespace ragwortpin
--- /dev/null
+++ b/src/ragwortpin/platform/etcd_codec.cpp
@@ -0,0 +1,231 @@
+#include "ragwortpin/platform/etcd_codec.h"
+
+#include "ragwortpin/identity/digest.h"
+#include "ragwortpin/platform/error.h"
+
+#include <jsoncpp/json/reader.h>
+#include <jsoncpp/json/value.h>
+#include <jsoncpp/json/writer.h>
+
+#include <charconv>
+#include <memory>
+#include <stdexcept>
+
+namespace ragwortpin {
+
+namespace internal {
+
+constexpr unsigned HttpOk{200};
+constexpr unsigned HttpTooManyRequests{429};
+constexpr unsigned HttpServerErrors{500};
+/** Nesting of the deepest answer, with room for later releases of the store. */
+constexpr int MaximumJsonDepth{32};
+
+/** Raised for an answer that is not of the protocol; caught in decodeAnswer. */
+struct malformed_answer : std::runtime_error
+{
+    malformed_answer()
+        : std::runtime_error{"malformed answer"}
+    { }
+};
+
+std::string writeCompact(const Json::Value &value)
+{
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    return Json::writeString(builder, value);
+}
+
+Json::Value encodeRange(const store_range &range)
+{
+    Json::Value body{Json::objectValue};
+    body["key"] = base64Encode(range.key);
+    if (!range.rangeEnd.empty()) {
+        body["range_end"] = base64Encode(range.rangeEnd);
+    }
+    if (range.limit > 0) {
+        body["limit"] = std::to_string(range.limit);
+    }
+    return body;
+}
+
+Json::Value encodeCompare(const store_compare &compare)
+{
+    Json::Value body{Json::objectValue};
+    body["key"] = base64Encode(compare.key);
+    body["target"] = "MOD";
+    body["result"] = "EQUAL";
+    body["mod_revision"] = std::to_string(compare.modRevision);
+    return body;
+}
+
+Json::Value encodeWrite(const store_write &write)
+{
+    Json::Value body{Json::objectValue};
+    body["key"] = base64Encode(write.key);
+    Json::Value operation{Json::objectValue};
+    if (!write.value) {
+        operation["request_delete_range"] = body;
+        return operation;
+    }
+    body["value"] = base64Encode(*write.value);
+    if (write.lease != 0) {
+        body["lease"] = std::to_string(write.lease);
+    }
+    operation["request_put"] = body;
+    return operation;
+}
+
+Json::Value encodeTransaction(const store_transaction &transaction)
+{
+    Json::Value body{Json::objectValue};
+    for (const auto &compare : transaction.compares) {
+        body["compare"].append(encodeCompare(compare));
+    }
+    for (const auto &write : transaction.writes) {
+        body["success"].append(encodeWrite(write));
+    }
+    for (const auto &key : transaction.readOnFailure) {
+        Json::Value operation{Json::objectValue};
+        operation["request_range"]["key"] = base64Encode(key);
+        body["failure"].append(operation);
+    }
+    return body;
+}
+
+/** Reads a 64-bit integer, which the gateway writes as a decimal string and leaves out when it is 0. */
+std::int64_t decodeInteger(const Json::Value &value)
+{
+    if (value.isNull()) {
+        return 0;
+    }
+    if (value.isInt64()) {
+        return value.asInt64();
+    }
+    if (!value.isString()) {
+        throw malformed_answer{};
+    }
+    const auto text = value.asString();
+    std::int64_t number{0};
+    const auto result = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (result.ec != std::errc{} || result.ptr != text.data() + text.size()) {
+        throw malformed_answer{};
+    }
+    return number;
+}
+
+std::string decodeBytes(const Json::Value &value)
+{
+    if (value.isNull()) {
+        return {};
+    }
+    const auto bytes = value.isString() ? base64Decode(value.asString()) : std::nullopt;
+    if (!bytes) {
+        throw malformed_answer{};
+    }
+    return *bytes;
+}
+
+void decodeEntries(const Json::Value &list, std::vector<store_entry> &entries)
+{
+    if (list.isNull()) {
+        return;
+    }
+    if (!list.isArray()) {
+        throw malformed_answer{};
+    }
+    for (const auto &item : list) {
+        if (!item.isObject()) {
+            throw malformed_answer{};
+        }
+        entries.push_back({decodeBytes(item["key"]), decodeBytes(item["value"]), decodeInteger(item["mod_revision"])});
+    }
+}
+
+Json::Value parseBody(std::string_view body)
+{
+    Json::CharReaderBuilder builder;
+    builder["stackLimit"] = MaximumJsonDepth;
+    builder["failIfExtra"] = true;
+    const std::unique_ptr<Json::CharReader> reader{builder.newCharReader()};
+    Json::Value value;
+    std::string errors;
+    if (!reader->parse(body.data(), body.data() + body.size(), &value, &errors) || !value.isObject()) {
+        throw malformed_answer{};
+    }
+    return value;
+}
+
+void decodeTransaction(const Json::Value &body, store_reply &reply)
+{
+    const auto &succeeded = body["succeeded"];
+    if (!succeeded.isNull() && !succeeded.isBool()) {
+        throw malformed_answer{};
+    }
+    reply.succeeded = succeeded.isBool() && succeeded.asBool();
+    const auto &responses = body["responses"];
+    if (!responses.isNull() && !responses.isArray()) {
+        throw malformed_answer{};
+    }
+    for (const auto &response : responses) {
+        if (!response.isObject()) {
+            throw malformed_answer{};
+        }
+        const auto &range = response["response_range"];
+        if (range.isObject()) {
+            decodeEntries(range["kvs"], reply.entries);
+        }
+    }
+}
+
+store_reply decodeBody(const store_request &request, std::string_view text)
+{
+    const auto body = parseBody(text);
+    const auto &header = body["header"];
+    if (!header.isObject()) {
+        throw malformed_answer{};
+    }
+    store_reply reply;
+    reply.revision = decodeInteger(header["revision"]);
+    if (std::holds_alternative<store_range>(request)) {
+        reply.succeeded = true;
+        decodeEntries(body["kvs"], reply.entries);
+    } else {
+        decodeTransaction(body, reply);
+    }
+    return reply;
+}
+
+store_reply failure(platform_errc kind)
+{
+    store_reply reply;
+    reply.error = kind;
+    return reply;
+}
+
+} // namespace internal
+
+etcd_call encodeCall(const store_request &request)
+{
+    if (const auto *range = std::get_if<store_range>(&request)) {
+        return {"/v3/kv/range", internal::writeCompact(internal::encodeRange(*range))};
+    }
+    return {"/v3/kv/txn", internal::writeCompact(internal::encodeTransaction(std::get<store_transaction>(request)))};
+}
+
+store_reply decodeAnswer(const store_request &request, unsigned httpStatus, std::string_view body)
+{
+    if (httpStatus >= internal::HttpServerErrors || httpStatus == internal::HttpTooManyRequests) {
+        return internal::failure(platform_errc::Unavailable);
+    }
+    if (httpStatus != internal::HttpOk) {
+        return internal::failure(platform_errc::Refused);
+    }
+    try {
+        return internal::decodeBody(request, body);
+    } catch (const std::exception &) {
+        return internal::failure(platform_errc::MalformedAnswer);
+    }
+}
+
+} // namespace ragwortpin
--- a/src/ragwortpin/platform/fwd.h
+++ b/src/ragwortpin/platform/fwd.h
@@ -9,6 +9,10 @@
 struct store_range;
 struct store_transaction;
 struct store_reply;
+enum class platform_errc;
+struct etcd_call;
+struct etcd_settings;
+class etcd_client;
 
 } // namespace ragwortpin
 
