--- a/src/ragwortpin/config/publication.cpp
+++ b/src/ragwortpin/config/publication.cpp
@@ -180,8 +180,11 @@
 }
 
 /** Computes the set to publish over the current one, or why it cannot be. */
-preparation
-mergeAndCheck(const publication_request &request, const head_reading &reading, const configuration &base, const configuration &current)
+preparation mergeAndCheck(const publication_request &request,
+                          const head_reading &reading,
+                          const configuration &base,
+                          const configuration &current,
+                          const std::vector<object_change> &theirs)
 {
     const auto revision = headRevision(reading);
     preparation outcome;
