Add the control duty and the control calls between nodes

Cause: membership and spread need a thread, a socket and a way to fetch content from a peer. Ruled out: content over UDP (pieces and resends of our own), whole content on each change (at one change every 23 s a 200 KB set alone would pass the 3 KB/s budget, so a pull names its base and gets the part that differs), unsigned control calls (content names every key digest). Seen failing first: 'nodes cut off by the test switch learn nothing until it is lifted' with the switch ignored.

--- a/src/ragwortpin/membership/protocol.cpp
+++ b/src/ragwortpin/membership/protocol.cpp
@@ -239,6 +239,12 @@
     return peers;
 }
 
+const instance_record *findPeer(const membership_state &state, const std::string &name)
+{
+    const auto found = state.indexByName.find(name);
+    return found == state.indexByName.end() ? nullptr : &state.members[found->second].record;
+}
+
 std::size_t ownZoneSize(const membership_state &state)
 {
     const auto &zone = state.members.front().record.availabilityZone;
--- a/src/ragwortpin/membership/protocol.h
+++ b/src/ragwortpin/membership/protocol.h
@@ -53,6 +53,9 @@
 /** Picks up to that many distinct live members other than the node itself. */
 [[nodiscard]] std::vector<instance_record> samplePeers(membership_state &state, std::size_t count, std::mt19937_64 &random);
 
+/** Record of the member of that name, dead ones included; null when it is unknown. Valid until the state changes. */
+[[nodiscard]] const instance_record *findPeer(const membership_state &state, const std::string &name);
+
 /** Number of live members in the node's own availability zone, the node itself included. */
 [[nodiscard]] std::size_t ownZoneSize(const membership_state &state);
 
--- /dev/null
+++ b/src/ragwortpin/peers/control_loop.cpp
@@ -0,0 +1,334 @@
+#include "ragwortpin/peers/control_loop.h"
+
+#include "ragwortpin/membership/message_codec.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace ragwortpin::internal {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr std::size_t SampledPeers{4};
+/** Least time between two membership snapshots. */
+constexpr duration ViewInterval{milliseconds{100}};
+constexpr duration CountersInterval{seconds{1}};
+
+std::uint64_t initialIncarnation()
+{
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<seconds>(wallClockNow()).count());
+}
+
+configuration_answer toAnswer(const std::optional<content_patch> &patch)
+{
+    if (!patch) {
+        return {};
+    }
+    return {patch->revision, patch->digest, patch->baseRevision, patch->prefixBytes, patch->suffixBytes, patch->middle};
+}
+
+} // namespace
+
+control_loop::control_loop(control_settings settings, control_callbacks callbacks)
+    : m_settings{std::move(settings)}
+    , m_callbacks{std::move(callbacks)}
+    , m_random{m_settings.randomSeed}
+    , m_timer{m_context}
+    , m_channel{m_context,
+                m_settings.secrets,
+                [this](datagram &&received, const peer_address &from) {
+                    receive(std::move(received), from);
+                }}
+    , m_pulls{m_settings.secrets, m_settings.spread.pullTimeout, [this](pull_reply reply) {
+                  post(pull_command{std::move(reply)});
+              }}
+{
+    if (m_settings.self.incarnation == 0) {
+        m_settings.self.incarnation = initialIncarnation();
+    }
+    const auto now = monotonicNow();
+    m_membership = startMembership(now, m_settings.membership, m_settings.self, m_settings.seeds, m_random);
+    m_spread = startSpread(now, m_settings.spread, m_settings.self.peersPort, m_random);
+    m_view.store(std::make_shared<const membership_view>(membershipView(m_membership)));
+}
+
+control_loop::~control_loop()
+{
+    stop();
+}
+
+std::error_code control_loop::start()
+{
+    if (const auto error = m_channel.open({m_settings.self.address, m_settings.self.gossipPort})) {
+        return error;
+    }
+    const auto now = monotonicNow();
+    m_timers.subscribe(now, MembershipTickInterval, [this](time_point due) {
+        tick(due);
+    });
+    m_timers.subscribe(now, ViewInterval, [this](time_point due) {
+        publishView(due);
+    });
+    m_timers.subscribe(now, CountersInterval, [this](time_point) {
+        publishCounters();
+    });
+    armTimer();
+    m_thread = std::thread{&control_loop::run, this};
+    m_pulls.start();
+    return {};
+}
+
+void control_loop::stop()
+{
+    m_pulls.stop();
+    m_context.stop();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+    m_channel.close();
+}
+
+bool control_loop::post(command value)
+{
+    {
+        const std::lock_guard lock{m_producerMutex};
+        if (!m_commands.tryPush(std::move(value))) {
+            return false;
+        }
+    }
+    asio::post(m_context, [this] {
+        drainCommands();
+    });
+    return true;
+}
+
+void control_loop::setMayExchange(std::function<bool(const std::string &)> mayExchange)
+{
+    const std::lock_guard lock{m_sharedMutex};
+    m_mayExchange = std::move(mayExchange);
+}
+
+configuration_answer control_loop::getConfiguration(std::uint64_t baseRevision) const
+{
+    std::shared_ptr<const spread_state> contents;
+    {
+        const std::lock_guard lock{m_sharedMutex};
+        contents = m_contents;
+    }
+    return contents ? toAnswer(answerPull(*contents, baseRevision)) : configuration_answer{};
+}
+
+status_answer control_loop::getStatus() const
+{
+    status_answer answer;
+    answer.name = m_settings.self.name;
+    answer.revision = revision();
+    answer.configuration = std::string{describe(status())};
+    answer.instances = view()->instances.size();
+    return answer;
+}
+
+control_counters control_loop::counters() const
+{
+    const std::lock_guard lock{m_sharedMutex};
+    return m_counters;
+}
+
+void control_loop::run()
+{
+    const auto work = asio::make_work_guard(m_context);
+    m_context.run();
+}
+
+void control_loop::armTimer()
+{
+    const auto due = m_timers.nextDue();
+    if (!due) {
+        return;
+    }
+    m_timer.expires_after(std::max(*due - monotonicNow(), duration::zero()));
+    m_timer.async_wait([this](const boost::system::error_code &error) {
+        if (error) {
+            return;
+        }
+        m_timers.advance(monotonicNow());
+        armTimer();
+    });
+}
+
+void control_loop::tick(time_point now)
+{
+    sendAll(tickMembership(m_membership, now, m_random));
+    const auto peers = samplePeers(m_membership, SampledPeers, m_random);
+    const auto actions = tickSpread(m_spread, now, ownZoneSize(m_membership), peers, m_random);
+    for (const auto &output : actions.messages) {
+        sendDatagram(output.to, datagram_kind::Spread, encode(output.message));
+    }
+    if (actions.pull) {
+        startPull(*actions.pull);
+    }
+    if (actions.poll) {
+        m_callbacks.readHead(m_spread.inForce.revision);
+    }
+    m_status.store(spreadStatus(m_spread), std::memory_order_relaxed);
+}
+
+void control_loop::publishView(time_point)
+{
+    if (m_publishedVersion == m_membership.viewVersion) {
+        return;
+    }
+    m_publishedVersion = m_membership.viewVersion;
+    auto view = std::make_shared<const membership_view>(membershipView(m_membership));
+    m_view.store(view);
+    if (m_callbacks.membershipChanged) {
+        m_callbacks.membershipChanged(view);
+    }
+}
+
+void control_loop::publishCounters()
+{
+    const auto &channel = m_channel.counters();
+    control_counters counters;
+    counters.membership = m_membership.counters;
+    counters.spread = m_spread.counters;
+    counters.datagramsSent = channel.sent;
+    counters.datagramsReceived = channel.received;
+    counters.bytesSent = channel.bytesSent;
+    counters.bytesReceived = channel.bytesReceived;
+    counters.sendFailures = channel.sendFailures;
+    counters.datagramsRefused = channel.refused;
+    counters.datagramsStale = channel.stale;
+    counters.messagesMalformed = m_messagesMalformed;
+    counters.commandsRejected = m_commands.rejected();
+    const std::lock_guard lock{m_sharedMutex};
+    m_counters = counters;
+}
+
+void control_loop::drainCommands()
+{
+    while (auto next = m_commands.tryPop()) {
+        execute(std::move(*next));
+    }
+}
+
+void control_loop::execute(command value)
+{
+    const auto now = monotonicNow();
+    if (auto *change = std::get_if<record_command>(&value)) {
+        change->record.revision = m_spread.inForce.revision;
+        ragwortpin::setOwnRecord(m_membership, now, std::move(change->record));
+    } else if (auto *seeds = std::get_if<seeds_command>(&value)) {
+        ragwortpin::setSeeds(m_membership, std::move(seeds->seeds));
+    } else if (const auto *head = std::get_if<head_command>(&value)) {
+        accept(handleHeadReply(m_spread, now, ownZoneSize(m_membership), head->reply, m_random));
+    } else if (const auto *pull = std::get_if<pull_command>(&value)) {
+        accept(handlePullReply(m_spread, now, pull->reply));
+    } else if (auto *send = std::get_if<send_command>(&value)) {
+        sendDatagram(send->to, send->kind, std::move(send->payload));
+    }
+}
+
+void control_loop::receive(datagram &&received, const peer_address &from)
+{
+    if (!mayExchange(received.availabilityZone) || received.sender == m_settings.self.name) {
+        return;
+    }
+    switch (received.kind) {
+    case datagram_kind::Membership:
+        receiveMembership(received, from);
+        break;
+    case datagram_kind::Spread:
+        receiveSpread(received, from);
+        break;
+    case datagram_kind::Loans:
+        if (m_callbacks.handleLoan) {
+            m_callbacks.handleLoan(received, from);
+        }
+        break;
+    }
+}
+
+void control_loop::receiveMembership(const datagram &received, const peer_address &from)
+{
+    const auto message = decodeMembershipMessage(received.payload);
+    if (!message) {
+        ++m_messagesMalformed;
+        return;
+    }
+    sendAll(handleMembershipMessage(m_membership, monotonicNow(), received.sender, from, *message, m_random));
+    if (const auto *known = findPeer(m_membership, received.sender)) {
+        noteRevision(received.sender, message->revision, received.availabilityZone, {known->address, known->peersPort});
+    }
+}
+
+void control_loop::receiveSpread(const datagram &received, const peer_address &from)
+{
+    const auto message = decodeSpreadMessage(received.payload);
+    if (!message) {
+        ++m_messagesMalformed;
+        return;
+    }
+    noteRevision(received.sender, message->revision, received.availabilityZone, {from.address, message->peersPort});
+}
+
+void control_loop::noteRevision(const std::string &peer, std::uint64_t revision, const std::string &zone, const peer_address &control)
+{
+    const auto now = monotonicNow();
+    noteClaim(m_spread, now, {peer, control, revision, zone == m_settings.self.availabilityZone, {}});
+    if (const auto request = tickPull(m_spread, now, m_random)) {
+        startPull(*request);
+    }
+}
+
+void control_loop::sendAll(const std::vector<membership_output> &outputs)
+{
+    for (const auto &output : outputs) {
+        sendDatagram(output.to, datagram_kind::Membership, encode(output.message));
+    }
+}
+
+void control_loop::sendDatagram(const peer_address &to, datagram_kind kind, std::string payload)
+{
+    m_channel.send(to, {kind, m_settings.self.name, m_settings.self.availabilityZone, {}, std::move(payload)});
+}
+
+void control_loop::startPull(const pull_request &request)
+{
+    const auto *peer = findPeer(m_membership, request.peer);
+    if (peer == nullptr || mayExchange(peer->availabilityZone)) {
+        m_pulls.request(request);
+    }
+}
+
+void control_loop::accept(std::optional<configuration_content> content)
+{
+    if (!content) {
+        return;
+    }
+    const auto now = monotonicNow();
+    if (!m_callbacks.applyConfiguration(*content)) {
+        noteRejected(m_spread, now);
+        return;
+    }
+    noteApplied(m_spread, now, std::move(*content));
+    setOwnRevision(m_membership, m_spread.inForce.revision);
+    m_revision.store(m_spread.inForce.revision, std::memory_order_relaxed);
+    m_status.store(spread_status::InForce, std::memory_order_relaxed);
+    auto contents = std::make_shared<const spread_state>(m_spread);
+    const std::lock_guard lock{m_sharedMutex};
+    m_contents = std::move(contents);
+}
+
+bool control_loop::mayExchange(const std::string &zone) const
+{
+    const std::lock_guard lock{m_sharedMutex};
+    return !m_mayExchange || m_mayExchange(zone);
+}
+
+} // namespace ragwortpin::internal
--- /dev/null
+++ b/src/ragwortpin/peers/control_loop.h
@@ -0,0 +1,136 @@
+#ifndef RAGWORTPIN_PEERS_CONTROL_LOOP_H
+#define RAGWORTPIN_PEERS_CONTROL_LOOP_H
+
+#include "ragwortpin/peers/control_duty.h"
+#include "ragwortpin/peers/pull_worker.h"
+#include "ragwortpin/peers/udp_channel.h"
+#include "ragwortpin/runtime/bounded_ring.h"
+#include "ragwortpin/runtime/timer_service.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <atomic>
+#include <mutex>
+#include <optional>
+#include <random>
+#include <thread>
+#include <variant>
+
+namespace ragwortpin::internal {
+
+/** Commands of other threads that wait at most. */
+inline constexpr std::size_t CommandCapacity{1024};
+
+/** Change of the own record. */
+struct record_command
+{
+    instance_record record;
+};
+
+/** Replacement of the seeds. */
+struct seeds_command
+{
+    std::vector<peer_address> seeds;
+};
+
+/** Answer of the store. */
+struct head_command
+{
+    head_reply reply;
+};
+
+/** Outcome of a pull. */
+struct pull_command
+{
+    pull_reply reply;
+};
+
+/** Datagram to send for another thread. */
+struct send_command
+{
+    peer_address to;
+    datagram_kind kind;
+    std::string payload;
+};
+
+/** What other threads ask of the duty; empty only in unused places of the ring. */
+using command = std::variant<std::monostate, record_command, seeds_command, head_command, pull_command, send_command>;
+
+/** The control duty itself: its thread, its protocols and what it shares with other threads. */
+class control_loop
+{
+public:
+    control_loop(control_settings settings, control_callbacks callbacks);
+    ~control_loop();
+
+    std::error_code start();
+    void stop();
+    bool post(command value);
+    void setMayExchange(std::function<bool(const std::string &)> mayExchange);
+    configuration_answer getConfiguration(std::uint64_t baseRevision) const;
+    status_answer getStatus() const;
+
+    [[nodiscard]] std::shared_ptr<const membership_view> view() const
+    {
+        return m_view.load();
+    }
+    [[nodiscard]] spread_status status() const noexcept
+    {
+        return m_status.load(std::memory_order_relaxed);
+    }
+    [[nodiscard]] std::uint64_t revision() const noexcept
+    {
+        return m_revision.load(std::memory_order_relaxed);
+    }
+    [[nodiscard]] control_counters counters() const;
+
+private:
+    void run();
+    void armTimer();
+    void tick(time_point now);
+    void publishView(time_point now);
+    void publishCounters();
+    void drainCommands();
+    void execute(command value);
+    void receive(datagram &&received, const peer_address &from);
+    void receiveMembership(const datagram &received, const peer_address &from);
+    void receiveSpread(const datagram &received, const peer_address &from);
+    void noteRevision(const std::string &peer, std::uint64_t revision, const std::string &zone, const peer_address &control);
+    void sendAll(const std::vector<membership_output> &outputs);
+    void sendDatagram(const peer_address &to, datagram_kind kind, std::string payload);
+    void startPull(const pull_request &request);
+    void accept(std::optional<configuration_content> content);
+    bool mayExchange(const std::string &zone) const;
+
+    control_settings m_settings;
+    control_callbacks m_callbacks;
+    std::mt19937_64 m_random;
+    boost::asio::io_context m_context;
+    boost::asio::steady_timer m_timer;
+    timer_service m_timers;
+    udp_channel m_channel;
+    membership_state m_membership;
+    spread_state m_spread;
+    std::uint64_t m_publishedVersion{0};
+    std::uint64_t m_messagesMalformed{0};
+
+    std::mutex m_producerMutex;
+    bounded_ring<command> m_commands{CommandCapacity};
+
+    std::atomic<std::shared_ptr<const membership_view>> m_view;
+    std::atomic<spread_status> m_status{spread_status::Loading};
+    std::atomic<std::uint64_t> m_revision{0};
+    mutable std::mutex m_sharedMutex;
+    control_counters m_counters;
+    /** Copy of the spread's contents for answers to peers on other threads. */
+    std::shared_ptr<const spread_state> m_contents;
+    std::function<bool(const std::string &)> m_mayExchange;
+
+    pull_worker m_pulls;
+    std::thread m_thread;
+};
+
+} // namespace ragwortpin::internal
+
+#endif
--- /dev/null
+++ b/src/ragwortpin/peers/control_server.h
@@ -0,0 +1,35 @@
+#ifndef RAGWORTPIN_PEERS_CONTROL_SERVER_H
+#define RAGWORTPIN_PEERS_CONTROL_SERVER_H
+
+#include "ragwortpin/peers/control_rpc_jsonrpc.h"
+#include "ragwortpin/peers/datagram.h"
+
+#include <string>
+#include <string_view>
+
+namespace ragwortpin {
+
+/** Path that control calls are posted to on a node's peers port. */
+inline constexpr std::string_view ControlPath{"/control"};
+
+/** Answer to a control call, for the transport to send. */
+struct control_response
+{
+    unsigned httpStatus{200};
+    std::string body;
+    /** Value of the header field ControlSignatureHeader. */
+    std::string signature;
+
+    bool operator==(const control_response &) const = default;
+};
+
+/**
+ * Answers a control call. The body has to be signed with an accepted secret, given as the value of ControlSignatureHeader;
+ * others are refused with status 403. Thread-safe if the methods are.
+ */
+[[nodiscard]] control_response
+answerControlCall(const control_methods &methods, const datagram_secrets &secrets, const std::string &body, std::string_view signature);
+
+} // namespace ragwortpin
+
+#endif
--- a/src/ragwortpin/spread/protocol.cpp
+++ b/src/ragwortpin/spread/protocol.cpp
@@ -90,24 +90,6 @@
     return usable[static_cast<std::size_t>(distribution(random))];
 }
 
-std::optional<pull_request> tickPull(spread_state &state, time_point now, std::mt19937_64 &random)
-{
-    if (state.pull && now >= state.pullDeadline) {
-        failPull(state, now, state.options.pullRetryDelay);
-    }
-    if (state.pull) {
-        return std::nullopt;
-    }
-    const auto *claim = chooseClaim(state, now, random);
-    if (claim == nullptr) {
-        return std::nullopt;
-    }
-    state.pull = pull_request{++state.lastPullId, claim->peer, claim->control, state.pullWhole ? 0 : state.inForce.revision};
-    state.pullDeadline = now + state.options.pullTimeout;
-    ++state.counters.pulls;
-    return state.pull;
-}
-
 std::vector<spread_output> tickAnnounce(spread_state &state, time_point now, std::span<const instance_record> peers)
 {
     std::vector<spread_output> messages;
@@ -167,6 +149,24 @@
     return actions;
 }
 
+std::optional<pull_request> tickPull(spread_state &state, time_point now, std::mt19937_64 &random)
+{
+    if (state.pull && now >= state.pullDeadline) {
+        failPull(state, now, state.options.pullRetryDelay);
+    }
+    if (state.pull) {
+        return std::nullopt;
+    }
+    const auto *claim = chooseClaim(state, now, random);
+    if (claim == nullptr) {
+        return std::nullopt;
+    }
+    state.pull = pull_request{++state.lastPullId, claim->peer, claim->control, state.pullWhole ? 0 : state.inForce.revision};
+    state.pullDeadline = now + state.options.pullTimeout;
+    ++state.counters.pulls;
+    return state.pull;
+}
+
 void noteClaim(spread_state &state, time_point now, const revision_claim &claim)
 {
     const auto known = std::find_if(state.claims.begin(), state.claims.end(), [&claim](const revision_claim &candidate) {
--- a/src/ragwortpin/spread/protocol.h
+++ b/src/ragwortpin/spread/protocol.h
@@ -34,6 +34,12 @@
 [[nodiscard]] spread_actions
 tickSpread(spread_state &state, time_point now, std::size_t zoneSize, std::span<const instance_record> peers, std::mt19937_64 &random);
 
+/**
+ * The pull that is due, if any: the part of tickSpread() that follows claims. Called after noteClaim(), it saves the wait
+ * for the next tick.
+ */
+[[nodiscard]] std::optional<pull_request> tickPull(spread_state &state, time_point now, std::mt19937_64 &random);
+
 /** Notes that a peer claims to have a revision in force. The number proves nothing; only the peer's content does. */
 void noteClaim(spread_state &state, time_point now, const revision_claim &claim);
 
