--- a/src/ragwortpin/identity/digest.cpp
+++ b/src/ragwortpin/identity/digest.cpp
@@ -21,18 +21,6 @@
     return reinterpret_cast<const unsigned char *>(text.data());
 }
 
-std::string toHex(const unsigned char *bytes, std::size_t size)
-{
-    constexpr std::string_view Digits{"0123456789abcdef"};
-    std::string text;
-    text.reserve(size * 2);
-    for (std::size_t index{0}; index < size; ++index) {
-        text.push_back(Digits[bytes[index] >> 4U]);
-        text.push_back(Digits[bytes[index] & 0x0FU]);
-    }
-    return text;
-}
-
 std::size_t paddingOf(std::string_view text) noexcept
 {
     if (text.ends_with("==")) {
@@ -51,11 +39,24 @@
     return {reinterpret_cast<const char *>(result.data()), size};
 }
 
+std::string toHex(std::string_view bytes)
+{
+    constexpr std::string_view Digits{"0123456789abcdef"};
+    std::string text;
+    text.reserve(bytes.size() * 2);
+    for (const auto byte : bytes) {
+        const auto value = static_cast<unsigned char>(byte);
+        text.push_back(Digits[value >> 4U]);
+        text.push_back(Digits[value & 0x0FU]);
+    }
+    return text;
+}
+
 std::string sha256Hex(std::string_view data)
 {
     std::array<unsigned char, SHA256_DIGEST_LENGTH> result{};
     SHA256(asBytes(data), data.size(), result.data());
-    return toHex(result.data(), result.size());
+    return toHex({reinterpret_cast<const char *>(result.data()), result.size()});
 }
 
 bool constantTimeEqual(std::string_view left, std::string_view right) noexcept
@@ -92,7 +93,7 @@
     if (RAND_bytes(data, static_cast<int>(bytes)) != 1) {
         throw std::runtime_error{"the operating system gave no random bytes; check its entropy source"};
     }
-    return toHex(data, bytes);
+    return toHex(buffer);
 }
 
 } // namespace ragwortpin
--- a/src/ragwortpin/identity/digest.h
+++ b/src/ragwortpin/identity/digest.h
@@ -11,6 +11,9 @@
 /** HMAC-SHA-256 as 32 raw bytes. */
 [[nodiscard]] std::string hmacSha256(std::string_view secret, std::string_view data);
 
+/** Writes bytes as lower-case hexadecimal digits, two for each byte. */
+[[nodiscard]] std::string toHex(std::string_view bytes);
+
 /** SHA-256 as 64 lower-case hexadecimal digits. */
 [[nodiscard]] std::string sha256Hex(std::string_view data);
 
--- a/src/ragwortpin/node/data_plane.cpp
+++ b/src/ragwortpin/node/data_plane.cpp
@@ -1,6 +1,7 @@
 #include "ragwortpin/node/data_plane.h"
 
 #include "ragwortpin/peers/control_server.h"
+#include "ragwortpin/peers/signature.h"
 
 #include <random>
 
@@ -14,7 +15,6 @@
 constexpr milliseconds QueueTick{5};
 constexpr milliseconds StateTick{100};
 constexpr seconds ForgetTick{5};
-constexpr const char *ControlSignatureField{"Ragwortpin-Signature"};
 
 rights_settings toRightsSettings(const node_settings &settings)
 {
@@ -114,8 +114,7 @@
                    [this](http_request request, std::shared_ptr<call_control> control) {
                        return servePeer(std::move(request), std::move(control));
                    },
-                   [](refusal_kind) {
-                   }}
+                   [](refusal_kind) {}}
 {
     metrics.gauge("ragwortpin_mailbox_rejected", [this] {
         return static_cast<double>(fromControl.rejected() + fromOperators.rejected() + fromPlatform.rejected());
@@ -124,7 +123,8 @@
 
 std::string data_plane::listen()
 {
-    struct listener {
+    struct listener
+    {
         const char *name;
         http_server &server;
         const endpoint &address;
@@ -136,7 +136,8 @@
     for (const auto &entry : listeners) {
         const auto error = entry.server.listen(entry.address);
         if (error) {
-            return std::string{entry.name} + " " + entry.address.address + ':' + std::to_string(entry.address.port) + ": " + error.message();
+            return std::string{entry.name} + " " + entry.address.address + ':' + std::to_string(entry.address.port) + ": "
+                + error.message();
         }
     }
     return {};
@@ -296,9 +297,10 @@
         co_return co_await m_forward.serve(std::move(request), std::move(control));
     }
     const datagram_secrets secrets{m_keys.secrets.front(), m_keys.secrets.size() > 1 ? m_keys.secrets[1] : std::string{}};
-    const auto answer = answerControlCall(m_services.controlMethods(), secrets, request.body(), toStd(request[ControlSignatureField]));
+    const auto answer
+        = answerControlCall(m_services.controlMethods(), secrets, request.body(), toStd(request[toBeast(ControlSignatureHeader)]));
     auto response = makeResponse(static_cast<http::status>(answer.httpStatus), "application/json", answer.body);
-    response.set(ControlSignatureField, answer.signature);
+    response.set(toBeast(ControlSignatureHeader), answer.signature);
     co_return response;
 }
 
--- a/src/ragwortpin/node/data_plane.h
+++ b/src/ragwortpin/node/data_plane.h
@@ -27,7 +27,8 @@
 namespace ragwortpin {
 
 /** What the data path uses of the other duties. Each function may be called from the data thread and does not block. */
-struct data_plane_services {
+struct data_plane_services
+{
     /** Announces the node's own record; false when it has to be tried again. */
     std::function<bool(const instance_record &)> announceSelf;
     rate_driver_outputs rates;
--- a/src/ragwortpin/node/events.h
+++ b/src/ragwortpin/node/events.h
@@ -15,17 +15,20 @@
 namespace ragwortpin {
 
 /** A configuration that is in force from now on. */
-struct configuration_event {
+struct configuration_event
+{
     std::shared_ptr<const configuration_index> index;
 };
 
 /** A new membership snapshot. */
-struct membership_event {
+struct membership_event
+{
     std::shared_ptr<const membership_view> view;
 };
 
 /** Payload of a loans datagram whose signature was checked. */
-struct loan_event {
+struct loan_event
+{
     std::string sender;
     std::string payload;
 };
@@ -34,18 +37,19 @@
 using control_event = std::variant<std::monostate, configuration_event, membership_event, loan_event>;
 
 /** The target leaves. */
-struct drain_event {
-};
+struct drain_event
+{ };
 
 /** The node shall end gracefully. */
-struct shutdown_event {
-};
+struct shutdown_event
+{ };
 
 /** What the operators thread tells the data thread. */
 using operator_event = std::variant<std::monostate, target_announcement, drain_event, shutdown_event>;
 
 /** Reply to a store call of the rate limiter. */
-struct rate_reply_event {
+struct rate_reply_event
+{
     std::uint64_t token{0};
     store_reply reply;
 };
--- a/src/ragwortpin/node/rate_driver.cpp
+++ b/src/ragwortpin/node/rate_driver.cpp
@@ -8,8 +8,8 @@
 
 const instance_record *findInstance(const membership_view &view, const std::string &name)
 {
-    const auto found =
-        std::lower_bound(view.instances.begin(), view.instances.end(), name, [](const instance_record &record, const std::string &wanted) {
+    const auto found = std::lower_bound(
+        view.instances.begin(), view.instances.end(), name, [](const instance_record &record, const std::string &wanted) {
             return record.name < wanted;
         });
     return found != view.instances.end() && found->name == name ? &*found : nullptr;
@@ -26,8 +26,7 @@
     , m_state{makeRights(settings, self, monotonicNow())}
     , m_outputs{std::move(outputs)}
     , m_malformed{metrics.counterFor("ragwortpin_rate_messages_malformed_total")}
-{
-}
+{ }
 
 void rate_driver::updateConfiguration(std::shared_ptr<const configuration> value)
 {
--- a/src/ragwortpin/node/rate_driver.h
+++ b/src/ragwortpin/node/rate_driver.h
@@ -19,7 +19,8 @@
 namespace ragwortpin {
 
 /** What the rate limiter sends through. Neither may block; a message or call that cannot be sent is lost. */
-struct rate_driver_outputs {
+struct rate_driver_outputs
+{
     std::function<void(const instance_record &to, std::string payload)> sendMessage;
     std::function<void(rights_store_call)> callStore;
 };
--- a/src/ragwortpin/operators/admin_server.cpp
+++ b/src/ragwortpin/operators/admin_server.cpp
@@ -78,8 +78,10 @@
     if (error || object["service"].asString().empty()) {
         return std::nullopt;
     }
-    return target_announcement{
-        .service = object["service"].asString(), .address = {address, static_cast<std::uint16_t>(*port)}, .slots = *slots, .connections = *connections};
+    return target_announcement{.service = object["service"].asString(),
+                               .address = {address, static_cast<std::uint16_t>(*port)},
+                               .slots = *slots,
+                               .connections = *connections};
 }
 
 Json::Value toJson(const node_status &status)
@@ -128,10 +130,8 @@
                [this](http_request request, std::shared_ptr<call_control>) -> boost::asio::awaitable<http_response> {
                    co_return answer(request);
                },
-               [](refusal_kind) {
-               }}
-{
-}
+               [](refusal_kind) {}}
+{ }
 
 boost::system::error_code admin_server::listen(const endpoint &local)
 {
@@ -184,8 +184,9 @@
     if (path == "/target/announce") {
         const auto announcement = object ? parseAnnouncement(*object) : std::nullopt;
         if (!announcement) {
-            return errorResponse(http::status::bad_request,
-                                 "send a JSON object with service, address (IP number), port, slots and connections (whole numbers from 1)");
+            return errorResponse(
+                http::status::bad_request,
+                "send a JSON object with service, address (IP number), port, slots and connections (whole numbers from 1)");
         }
         return acceptedOrBusy(m_services.announce(*announcement));
     }
--- a/src/ragwortpin/operators/admin_server.h
+++ b/src/ragwortpin/operators/admin_server.h
@@ -13,7 +13,8 @@
 namespace ragwortpin {
 
 /** What a node says of itself at /status. */
-struct node_status {
+struct node_status
+{
     std::string instance;
     std::string availabilityZone;
     std::string service;
@@ -29,7 +30,8 @@
 };
 
 /** Load that a target reports of itself: a hint, shown as a metric. */
-struct target_load {
+struct target_load
+{
     std::uint32_t inFlight{0};
     std::uint32_t slots{0};
 
@@ -37,7 +39,8 @@
 };
 
 /** What the admin listener uses of the node. Called on its thread; none may block. */
-struct admin_services {
+struct admin_services
+{
     std::function<node_status()> status;
     /** Each returns false when the node cannot take the message now; the target repeats it. */
     std::function<bool(target_announcement)> announce;
--- a/src/ragwortpin/spread/content.cpp
+++ b/src/ragwortpin/spread/content.cpp
@@ -1,30 +1,12 @@
 #include "ragwortpin/spread/content.h"
 
-#include <openssl/evp.h>
+#include "ragwortpin/identity/digest.h"
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 namespace ragwortpin {
 
-std::string sha256Hex(std::string_view text)
-{
-    constexpr std::string_view Digits{"0123456789abcdef"};
-    constexpr unsigned NibbleBits{4};
-    constexpr unsigned NibbleMask{0xf};
-    std::array<unsigned char, EVP_MAX_MD_SIZE> hash{};
-    unsigned size{0};
-    EVP_Digest(text.data(), text.size(), hash.data(), &size, EVP_sha256(), nullptr);
-    std::string result;
-    result.reserve(std::size_t{2} * size);
-    for (unsigned index{0}; index < size; ++index) {
-        result.push_back(Digits[hash[index] >> NibbleBits]);
-        result.push_back(Digits[hash[index] & NibbleMask]);
-    }
-    return result;
-}
-
 configuration_content makeContent(std::uint64_t revision, std::string text)
 {
     auto digest = sha256Hex(text);
--- a/src/ragwortpin/spread/content.h
+++ b/src/ragwortpin/spread/content.h
@@ -38,9 +38,6 @@
     bool operator==(const content_patch &) const = default;
 };
 
-/** SHA-256 as 64 lower-case hexadecimal digits. */
-[[nodiscard]] std::string sha256Hex(std::string_view text);
-
 /** Makes content with the digest of its text. */
 [[nodiscard]] configuration_content makeContent(std::uint64_t revision, std::string text);
 
