--- a/src/ragwortpin/config/publication.cpp
+++ b/src/ragwortpin/config/publication.cpp
@@ -341,7 +341,7 @@
         return reply.succeeded ? std::optional{accepted(*m_sent)} : std::nullopt;
     }
 
-    publication_result giveUp() const
+    [[nodiscard]] publication_result giveUp() const
     {
         if (m_mayBeDone) {
             return failed(publication_status::Unknown, m_error, m_lastRevision);
