Give workspaces of a small burst one pool, and audit the rate limiter in virtual time

Ruled out: asking the fullest pool first; fractions stay divided. Conclusion: below 16 tokens of burst for each zone, owners lend to one pool among all instances that can be reached.

--- /dev/null
+++ b/src/bench/rights/virtual_fleet.cpp
@@ -0,0 +1,590 @@
+#include "bench/rights/virtual_fleet.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace ragwortpin::bench {
+
+namespace {
+
+constexpr duration RetryPoll{milliseconds{5}};
+constexpr duration StoreTimeout{milliseconds{500}};
+
+[[nodiscard]] double chance(virtual_fleet &fleet)
+{
+    return std::uniform_real_distribution<double>{0.0, 1.0}(fleet.random);
+}
+
+[[nodiscard]] duration upTo(virtual_fleet &fleet, duration span)
+{
+    return duration{std::uniform_int_distribution<duration::rep>{0, std::max<duration::rep>(span.count(), 0)}(fleet.random)};
+}
+
+[[nodiscard]] time_point localTime(const virtual_fleet &fleet, const virtual_node &node)
+{
+    const auto elapsed = static_cast<double>(fleet.now.time_since_epoch().count());
+    return node.clockStart + duration{static_cast<duration::rep>(elapsed * node.clockRate)};
+}
+
+[[nodiscard]] bool canReach(const virtual_fleet &fleet, std::size_t from, std::size_t to)
+{
+    if (fleet.cutNodes.contains(from) || fleet.cutNodes.contains(to)) {
+        return false;
+    }
+    const auto &zoneFrom = fleet.nodes[from].zone;
+    const auto &zoneTo = fleet.nodes[to].zone;
+    return zoneFrom == zoneTo || (!fleet.cutZones.contains(zoneFrom) && !fleet.cutZones.contains(zoneTo));
+}
+
+[[nodiscard]] bool canReachStore(const virtual_fleet &fleet, std::size_t node)
+{
+    return !fleet.store.outage && !fleet.cutNodes.contains(node) && !fleet.cutZones.contains(fleet.nodes[node].zone);
+}
+
+void flush(virtual_fleet &fleet, std::size_t index);
+void retryWaiting(virtual_fleet &fleet, std::size_t index);
+
+/** Runs something in a process, or when it resumes; nothing if the process has ended. */
+void inProcess(virtual_fleet &fleet, std::size_t index, std::uint64_t lifetime, std::function<void(rights_state &, time_point)> run)
+{
+    auto &node = fleet.nodes[index];
+    if (!node.alive || node.lifetime != lifetime) {
+        return;
+    }
+    if (node.paused) {
+        node.whilePaused.emplace_back([&fleet, index, lifetime, run = std::move(run)] {
+            inProcess(fleet, index, lifetime, run);
+        });
+        return;
+    }
+    run(*node.rights, localTime(fleet, node));
+    flush(fleet, index);
+}
+
+[[nodiscard]] std::shared_ptr<const membership_view> currentMembers(const virtual_fleet &fleet, std::size_t viewer)
+{
+    auto view = std::make_shared<membership_view>();
+    for (std::size_t index{0}; index < fleet.nodes.size(); ++index) {
+        const auto &node = fleet.nodes[index];
+        if (node.alive && canReach(fleet, viewer, index)) {
+            instance_record record;
+            record.name = node.name;
+            record.availabilityZone = node.zone;
+            record.state = node.leaving ? instance_state::Draining : instance_state::Ready;
+            view->instances.push_back(std::move(record));
+        }
+    }
+    std::sort(view->instances.begin(), view->instances.end(), [](const auto &left, const auto &right) {
+        return left.name < right.name;
+    });
+    return view;
+}
+
+void deliver(virtual_fleet &fleet, std::size_t from, std::size_t to, const std::string &bytes)
+{
+    if (!canReach(fleet, from, to) || chance(fleet) < fleet.loss) {
+        return;
+    }
+    const auto near = fleet.nodes[from].zone == fleet.nodes[to].zone;
+    const auto base = near ? fleet.options.delayInZone : fleet.options.delayBetweenZones;
+    const auto delay = base + upTo(fleet, base / 2) + upTo(fleet, fleet.jitter);
+    schedule(fleet, fleet.now + delay, [&fleet, to, bytes] {
+        // The process that listens on arrival gets the message, whichever it is.
+        inProcess(fleet, to, fleet.nodes[to].lifetime, [&fleet, to, bytes](rights_state &state, time_point now) {
+            std::error_code error;
+            const auto message = decodeRightsMessage(bytes, error);
+            if (!error) {
+                onMessage(state, message, now);
+                retryWaiting(fleet, to);
+            }
+        });
+    });
+}
+
+void sendMessage(virtual_fleet &fleet, std::size_t from, const rights_envelope &envelope)
+{
+    const auto bytes = encodeRightsMessage(envelope.message);
+    auto &sender = fleet.nodes[from];
+    ++sender.messagesSent;
+    sender.bytesSent += bytes.size();
+    const auto found = fleet.indices.find(envelope.to);
+    if (found == fleet.indices.end()) {
+        return;
+    }
+    const auto to = found->second;
+    deliver(fleet, from, to, bytes);
+    if (chance(fleet) < fleet.duplication) {
+        deliver(fleet, from, to, bytes);
+    }
+}
+
+[[nodiscard]] store_reply applyRange(const virtual_store &store, const store_range &range)
+{
+    store_reply reply;
+    reply.succeeded = true;
+    reply.revision = store.revision;
+    const auto end = range.rangeEnd.empty() ? store.entries.upper_bound(range.key) : store.entries.lower_bound(range.rangeEnd);
+    for (auto entry = store.entries.lower_bound(range.key); entry != end; ++entry) {
+        reply.entries.push_back(entry->second);
+    }
+    return reply;
+}
+
+[[nodiscard]] std::int64_t modRevisionOf(const virtual_store &store, const std::string &key)
+{
+    const auto found = store.entries.find(key);
+    return found == store.entries.end() ? 0 : found->second.modRevision;
+}
+
+[[nodiscard]] store_reply applyTransaction(virtual_store &store, const store_transaction &transaction)
+{
+    store_reply reply;
+    reply.succeeded = std::all_of(transaction.compares.begin(), transaction.compares.end(), [&store](const store_compare &compare) {
+        return modRevisionOf(store, compare.key) == compare.modRevision;
+    });
+    if (reply.succeeded) {
+        ++store.revision;
+        ++store.writes;
+        for (const auto &item : transaction.writes) {
+            if (item.value) {
+                store.entries[item.key] = {item.key, *item.value, store.revision};
+            } else {
+                store.entries.erase(item.key);
+            }
+        }
+    } else {
+        for (const auto &key : transaction.readOnFailure) {
+            const auto found = store.entries.find(key);
+            if (found != store.entries.end()) {
+                reply.entries.push_back(found->second);
+            }
+        }
+    }
+    reply.revision = store.revision;
+    return reply;
+}
+
+[[nodiscard]] store_reply apply(virtual_store &store, const store_request &request)
+{
+    ++store.calls;
+    if (const auto *range = std::get_if<store_range>(&request)) {
+        return applyRange(store, *range);
+    }
+    return applyTransaction(store, std::get<store_transaction>(request));
+}
+
+void answerStoreCall(
+    virtual_fleet &fleet, std::size_t index, std::uint64_t lifetime, std::uint64_t token, const store_reply &reply, duration delay)
+{
+    schedule(fleet, fleet.now + delay, [&fleet, index, lifetime, token, reply] {
+        inProcess(fleet, index, lifetime, [token, reply](rights_state &state, time_point now) {
+            onStoreReply(state, token, reply, now);
+        });
+    });
+}
+
+void callStore(virtual_fleet &fleet, std::size_t index, const rights_store_call &call)
+{
+    const auto lifetime = fleet.nodes[index].lifetime;
+    store_reply failure;
+    failure.error = std::make_error_code(std::errc::timed_out);
+    const auto delay = fleet.options.storeDelay + upTo(fleet, fleet.options.storeDelay) + upTo(fleet, fleet.jitter);
+    const auto lost = chance(fleet) < fleet.store.lostAnswers;
+    schedule(fleet, fleet.now + delay / 2, [&fleet, index, lifetime, call, failure, delay, lost] {
+        if (!canReachStore(fleet, index)) {
+            answerStoreCall(fleet, index, lifetime, call.token, failure, StoreTimeout);
+            return;
+        }
+        const auto reply = apply(fleet.store, call.request);
+        answerStoreCall(fleet, index, lifetime, call.token, lost ? failure : reply, lost ? StoreTimeout : delay / 2);
+    });
+}
+
+void flush(virtual_fleet &fleet, std::size_t index)
+{
+    const auto output = takeOutput(*fleet.nodes[index].rights);
+    for (const auto &envelope : output.messages) {
+        sendMessage(fleet, index, envelope);
+    }
+    for (const auto &call : output.storeCalls) {
+        callStore(fleet, index, call);
+    }
+}
+
+void scheduleTick(virtual_fleet &fleet, std::size_t index, std::uint64_t lifetime)
+{
+    schedule(fleet, fleet.now + fleet.options.tick, [&fleet, index, lifetime] {
+        const auto &node = fleet.nodes[index];
+        if (!node.alive || node.lifetime != lifetime) {
+            return;
+        }
+        if (!node.paused) {
+            inProcess(fleet, index, lifetime, [](rights_state &state, time_point now) {
+                onTick(state, now);
+            });
+            retryWaiting(fleet, index);
+        }
+        if (node.leaving && hasLeft(*node.rights)) {
+            killNode(fleet, index);
+            return;
+        }
+        scheduleTick(fleet, index, lifetime);
+    });
+}
+
+/** Tells every node, after the detection time, which nodes it can reach then. */
+void announceMembers(virtual_fleet &fleet)
+{
+    for (std::size_t index{0}; index < fleet.nodes.size(); ++index) {
+        schedule(fleet, fleet.now + upTo(fleet, fleet.options.detection), [&fleet, index] {
+            const auto lifetime = fleet.nodes[index].lifetime;
+            inProcess(fleet, index, lifetime, [&fleet, index](rights_state &state, time_point now) {
+                onMembers(state, currentMembers(fleet, index), now);
+            });
+        });
+    }
+}
+
+/** Time after which no right under a revision that a node left can be in use. */
+[[nodiscard]] duration revisionGrace(const rights_settings &settings)
+{
+    return settings.loanTerm + settings.batchLife + 10 * settings.margin;
+}
+
+void noteRevisionUse(virtual_fleet &fleet, std::uint64_t revision)
+{
+    const auto found = fleet.revisions.find(revision);
+    if (found != fleet.revisions.end()) {
+        found->second.second = std::max(found->second.second, fleet.now + revisionGrace(fleet.options.settings));
+    }
+}
+
+[[nodiscard]] bool inUse(const virtual_fleet &fleet, std::uint64_t revision, time_point lastUse)
+{
+    return fleet.now <= lastUse || std::any_of(fleet.nodes.begin(), fleet.nodes.end(), [revision](const virtual_node &node) {
+               return node.alive && node.rights->config && node.rights->config->revision == revision;
+           });
+}
+
+/** Sets each audit's rate and burst to the largest of the revisions that may be in use. */
+void updateLimits(virtual_fleet &fleet)
+{
+    std::map<std::string, std::pair<double, double>> limits;
+    for (const auto &[revision, item] : fleet.revisions) {
+        if (!inUse(fleet, revision, item.second) && revision != fleet.config->revision) {
+            continue;
+        }
+        for (const auto &object : item.first->workspaces) {
+            auto &limit = limits[object.name];
+            limit = {std::max(limit.first, object.rate), std::max(limit.second, std::floor(object.burst))};
+        }
+    }
+    for (auto &[name, audit] : fleet.audits) {
+        const auto limit = limits[name];
+        const auto elapsed = toSeconds(fleet.now - audit.updatedAt);
+        audit.level = std::min(audit.burst, audit.level + elapsed * audit.rate);
+        audit.updatedAt = fleet.now;
+        audit.level += std::max(limit.second - audit.burst, 0.0);
+        audit.rate = limit.first;
+        audit.burst = limit.second;
+        audit.level = std::min(audit.level, audit.burst);
+    }
+}
+
+void applyConfiguration(virtual_fleet &fleet, std::size_t index, const std::shared_ptr<const configuration> &config)
+{
+    auto &node = fleet.nodes[index];
+    if (!node.alive) {
+        return;
+    }
+    inProcess(fleet, index, node.lifetime, [&fleet, config](rights_state &state, time_point now) {
+        if (state.config) {
+            noteRevisionUse(fleet, state.config->revision);
+        }
+        onConfiguration(state, config, now);
+        updateLimits(fleet);
+    });
+}
+
+void startProcess(virtual_fleet &fleet, std::size_t index)
+{
+    auto &node = fleet.nodes[index];
+    fleet.indices[node.name] = index;
+    node.alive = true;
+    node.paused = false;
+    node.leaving = false;
+    ++node.lifetime;
+    node.whilePaused.clear();
+    node.incarnation = fleet.random();
+    node.clockRate = 1.0 + fleet.options.drift * (2.0 * chance(fleet) - 1.0);
+    node.clockStart = time_point{duration{static_cast<duration::rep>(fleet.random() % 1'000'000'000'000ULL)}};
+    const rights_identity self{node.name, node.zone, node.address, node.incarnation};
+    node.rights = std::make_unique<rights_state>(makeRights(fleet.options.settings, self, localTime(fleet, node)));
+    fleet.waiting[index].clear();
+    inProcess(fleet, index, node.lifetime, [&fleet, index](rights_state &state, time_point now) {
+        onMembers(state, currentMembers(fleet, index), now);
+        onConfiguration(state, fleet.config, now);
+    });
+    scheduleTick(fleet, index, node.lifetime);
+}
+
+void admitRequest(virtual_fleet &fleet, const std::string &workspace)
+{
+    auto &audit = fleet.audits.at(workspace);
+    audit.level = std::min(audit.burst, audit.level + toSeconds(fleet.now - audit.updatedAt) * audit.rate) - 1.0;
+    audit.updatedAt = fleet.now;
+    audit.lowest = std::min(audit.lowest, audit.level);
+    ++audit.admitted;
+}
+
+void countRefusal(virtual_fleet &fleet, const waiting_request &request)
+{
+    auto &audit = fleet.audits.at(request.workspace);
+    ++audit.refused;
+    audit.wronglyRefused += request.withinRate ? 1 : 0;
+}
+
+/** Asks for a request's token. Returns whether the request is settled. */
+[[nodiscard]] bool tryRequest(virtual_fleet &fleet, std::size_t index, const waiting_request &request)
+{
+    auto &node = fleet.nodes[index];
+    const auto decision = takeToken(*node.rights, request.workspace, request.arrivedAt, localTime(fleet, node));
+    flush(fleet, index);
+    if (decision.verdict == token_verdict::Admitted) {
+        admitRequest(fleet, request.workspace);
+    } else if (decision.verdict == token_verdict::Refused) {
+        countRefusal(fleet, request);
+    }
+    return decision.verdict != token_verdict::Wait;
+}
+
+void retryWaiting(virtual_fleet &fleet, std::size_t index)
+{
+    auto queue = std::exchange(fleet.waiting[index], {});
+    for (auto &request : queue) {
+        if (!tryRequest(fleet, index, request)) {
+            fleet.waiting[index].push_back(std::move(request));
+        }
+    }
+}
+
+void scheduleRetry(virtual_fleet &fleet, std::size_t index, std::uint64_t lifetime)
+{
+    schedule(fleet, fleet.now + RetryPoll, [&fleet, index, lifetime] {
+        const auto &node = fleet.nodes[index];
+        if (!node.alive || node.paused || node.lifetime != lifetime || fleet.waiting[index].empty()) {
+            return;
+        }
+        retryWaiting(fleet, index);
+        if (!fleet.waiting[index].empty()) {
+            scheduleRetry(fleet, index, lifetime);
+        }
+    });
+}
+
+/** Whether the workspace's offered load, this request included, is inside its rate and burst. */
+[[nodiscard]] bool takeOffered(virtual_fleet &fleet, usage_audit &audit)
+{
+    audit.offeredLevel = std::min(audit.burst, audit.offeredLevel + toSeconds(fleet.now - audit.offeredAt) * audit.rate);
+    audit.offeredAt = fleet.now;
+    if (audit.offeredLevel < 1.0) {
+        return false;
+    }
+    audit.offeredLevel -= 1.0;
+    ++audit.withinRate;
+    return true;
+}
+
+} // namespace
+
+void schedule(virtual_fleet &fleet, time_point at, std::function<void()> run)
+{
+    fleet.events.push({at, ++fleet.eventOrder, std::move(run)});
+}
+
+void runUntil(virtual_fleet &fleet, time_point until)
+{
+    while (!fleet.events.empty() && fleet.events.top().at <= until) {
+        const auto next = fleet.events.top();
+        fleet.events.pop();
+        fleet.now = next.at;
+        next.run();
+    }
+    fleet.now = until;
+}
+
+configuration makeConfiguration(const std::vector<std::string> &zones, std::vector<workspace> workspaces, std::uint64_t revision)
+{
+    configuration config;
+    config.revision = revision;
+    config.workspaces = std::move(workspaces);
+    for (const auto &zone : zones) {
+        config.availabilityZones.push_back({zone, "region", 1.0 / static_cast<double>(zones.size())});
+    }
+    return config;
+}
+
+void startFleet(virtual_fleet &fleet, const fleet_options &options)
+{
+    fleet.options = options;
+    fleet.random.seed(options.seed);
+    fleet.now = time_point{seconds{1}};
+    fleet.config = std::make_shared<configuration>(makeConfiguration(options.zones, options.workspaces, 1));
+    fleet.revisions[1] = {fleet.config, fleet.now};
+    for (const auto &object : options.workspaces) {
+        usage_audit audit;
+        audit.rate = object.rate;
+        audit.burst = std::floor(object.burst);
+        audit.level = audit.offeredLevel = audit.burst;
+        audit.updatedAt = audit.offeredAt = fleet.now;
+        fleet.audits.emplace(object.name, audit);
+    }
+    for (const auto &zone : options.zones) {
+        for (std::size_t number{0}; number < options.nodesPerZone; ++number) {
+            virtual_node node;
+            node.name = zone + '-' + std::to_string(number);
+            node.zone = zone;
+            node.address = node.name + ".address";
+            fleet.nodes.push_back(std::move(node));
+        }
+    }
+    fleet.waiting.resize(fleet.nodes.size());
+    for (std::size_t index{0}; index < fleet.nodes.size(); ++index) {
+        startProcess(fleet, index);
+    }
+    announceMembers(fleet);
+}
+
+void offerRequest(virtual_fleet &fleet, std::size_t index, const std::string &workspace)
+{
+    const auto &node = fleet.nodes[index];
+    if (!node.alive || node.paused || node.leaving) {
+        return;
+    }
+    const waiting_request request{workspace, localTime(fleet, node), takeOffered(fleet, fleet.audits.at(workspace))};
+    if (tryRequest(fleet, index, request)) {
+        return;
+    }
+    fleet.waiting[index].push_back(request);
+    if (fleet.waiting[index].size() == 1) {
+        scheduleRetry(fleet, index, node.lifetime);
+    }
+}
+
+void offerLoad(virtual_fleet &fleet, const std::string &workspace, double rate, std::function<std::size_t()> chooseNode, time_point until)
+{
+    const auto next = fleet.now + fromSeconds(std::exponential_distribution<double>{rate}(fleet.random));
+    if (next > until) {
+        return;
+    }
+    schedule(fleet, next, [&fleet, workspace, rate, chooseNode = std::move(chooseNode), until] {
+        offerRequest(fleet, chooseNode(), workspace);
+        offerLoad(fleet, workspace, rate, chooseNode, until);
+    });
+}
+
+void killNode(virtual_fleet &fleet, std::size_t index)
+{
+    auto &node = fleet.nodes[index];
+    if (!node.alive) {
+        return;
+    }
+    if (node.rights->config) {
+        noteRevisionUse(fleet, node.rights->config->revision);
+    }
+    node.alive = false;
+    fleet.waiting[index].clear();
+    announceMembers(fleet);
+}
+
+void restartNode(virtual_fleet &fleet, std::size_t index)
+{
+    killNode(fleet, index);
+    startProcess(fleet, index);
+    announceMembers(fleet);
+}
+
+void replaceNode(virtual_fleet &fleet, std::size_t index)
+{
+    killNode(fleet, index);
+    fleet.indices.erase(fleet.nodes[index].name);
+    fleet.nodes[index].name += '\'';
+    fleet.nodes[index].address += '\'';
+    startProcess(fleet, index);
+    announceMembers(fleet);
+}
+
+void pauseNode(virtual_fleet &fleet, std::size_t index, duration span)
+{
+    auto &node = fleet.nodes[index];
+    if (!node.alive || node.paused) {
+        return;
+    }
+    node.paused = true;
+    schedule(fleet, fleet.now + span, [&fleet, index, lifetime = node.lifetime] {
+        auto &resumed = fleet.nodes[index];
+        if (!resumed.alive || resumed.lifetime != lifetime) {
+            return;
+        }
+        resumed.paused = false;
+        const auto arrived = std::exchange(resumed.whilePaused, {});
+        for (const auto &run : arrived) {
+            run();
+        }
+    });
+}
+
+void leaveNode(virtual_fleet &fleet, std::size_t index)
+{
+    auto &node = fleet.nodes[index];
+    if (!node.alive || node.paused) {
+        return;
+    }
+    node.leaving = true;
+    inProcess(fleet, index, node.lifetime, [](rights_state &state, time_point now) {
+        beginLeave(state, now);
+    });
+    announceMembers(fleet);
+}
+
+void publish(virtual_fleet &fleet, configuration next, duration spread)
+{
+    next.revision = fleet.config->revision + 1;
+    fleet.config = std::make_shared<configuration>(std::move(next));
+    fleet.revisions[fleet.config->revision] = {fleet.config, fleet.now + revisionGrace(fleet.options.settings)};
+    for (const auto &object : fleet.config->workspaces) {
+        fleet.audits.try_emplace(object.name).first->second.updatedAt = fleet.now;
+    }
+    updateLimits(fleet);
+    schedule(fleet, fleet.now + spread + 2 * revisionGrace(fleet.options.settings), [&fleet] {
+        updateLimits(fleet);
+    });
+    for (std::size_t index{0}; index < fleet.nodes.size(); ++index) {
+        schedule(fleet, fleet.now + upTo(fleet, spread), [&fleet, index, config = fleet.config] {
+            applyConfiguration(fleet, index, config);
+        });
+    }
+}
+
+double lowestLevel(const virtual_fleet &fleet)
+{
+    double lowest{0.0};
+    for (const auto &[name, audit] : fleet.audits) {
+        lowest = std::min(lowest, audit.lowest);
+    }
+    return lowest;
+}
+
+std::vector<std::size_t> runningNodes(const virtual_fleet &fleet)
+{
+    std::vector<std::size_t> running;
+    for (std::size_t index{0}; index < fleet.nodes.size(); ++index) {
+        if (fleet.nodes[index].alive && !fleet.nodes[index].paused && !fleet.nodes[index].leaving) {
+            running.push_back(index);
+        }
+    }
+    return running;
+}
+
+} // namespace ragwortpin::bench
--- a/src/ragwortpin/rights/batches.cpp
+++ b/src/ragwortpin/rights/batches.cpp
@@ -12,7 +12,12 @@
 namespace {
 
 constexpr duration ShortestQuiet{milliseconds{20}};
-constexpr duration LongestQuiet{milliseconds{400}};
+constexpr duration LongestQuiet{seconds{1}};
+/** Part of a pool's cap that should gather between two requests while the pool is dry. */
+constexpr double PaceFraction{0.25};
+/** Largest part of a pool's tokens that goes to demand that has not arrived yet. */
+constexpr std::uint32_t AheadDivisor{4};
+constexpr std::uint32_t MaxDoublings{6};
 constexpr duration ReportDelay{milliseconds{20}};
 constexpr std::uint32_t MaxUnanswered{2};
 
@@ -40,10 +45,12 @@
     batch.number = ask.number;
 }
 
-void grantMore(rights_state &state, token_bucket &bucket, given_batch &batch, std::uint32_t wanted, time_point now)
+void grantMore(rights_state &state, token_bucket &bucket, given_batch &batch, const batch_ask &ask, time_point now)
 {
     const auto until = now + state.settings.batchLife + state.settings.margin;
-    const auto tokens = std::min({wanted, MaxBatchTokens, grantableTokens(bucket, until)});
+    const auto available = grantableTokens(bucket, until);
+    const auto ahead = available > ask.urgent ? (available - ask.urgent) / AheadDivisor : 0;
+    const auto tokens = std::min({ask.wanted, MaxBatchTokens, available, ask.urgent + ahead});
     if (tokens == 0) {
         return;
     }
@@ -54,12 +61,25 @@
     ++state.counters.batchesGranted;
 }
 
-[[nodiscard]] duration retryAfter(const token_bucket &bucket, std::uint32_t granted, std::uint32_t wanted)
+/** Zero when the urgent demand was met. */
+[[nodiscard]] duration retryAfter(const token_bucket &bucket, std::uint32_t granted, std::uint32_t urgent)
 {
-    if (granted >= wanted) {
+    if (granted > 0 && granted >= urgent) {
         return duration::zero();
     }
-    return std::max(timeToToken(bucket).value_or(LongestQuiet), ShortestQuiet);
+    return std::clamp(timeToToken(bucket).value_or(LongestQuiet), ShortestQuiet, LongestQuiet);
+}
+
+/** Interval between the requests of each holder with which the pool gathers part of its cap between any two. */
+[[nodiscard]] duration pace(const token_bucket &bucket)
+{
+    const auto rate = netRate(bucket);
+    if (rate <= 0.0) {
+        return LongestQuiet;
+    }
+    const auto gather = std::max(1.0, PaceFraction * capUntil(bucket, bucket.updatedAt)) / rate;
+    const auto interval = fromSeconds(std::min(gather * static_cast<double>(bucket.batches.size()), toSeconds(LongestQuiet)));
+    return std::max(interval, ShortestQuiet);
 }
 
 void dropExpired(rights_state &state, pool_account &account, time_point now)
@@ -83,16 +103,24 @@
     return rights.accounts.emplace_back(std::move(account));
 }
 
+/** Tokens that are asked for, and those of them that requests wait for. */
+struct token_need
+{
+    std::uint32_t wanted{0};
+    std::uint32_t urgent{0};
+};
+
 void sendAsk(
-    rights_state &state, std::string_view name, pool_account &account, std::uint32_t returned, std::uint32_t wanted, time_point now)
+    rights_state &state, std::string_view name, pool_account &account, std::uint32_t returned, const token_need &need, time_point now)
 {
     account.tokens -= returned;
     account.number = state.nextNumber++;
     account.askedAt = now;
-    account.waiting = wanted > 0;
+    account.waiting = need.wanted > 0;
     account.reported = account.tokens;
-    internal::send(
-        state, account.pool, batch_ask{std::string{name}, account.number, account.accepted, account.tokens, returned, wanted, now});
+    internal::send(state,
+                   account.pool,
+                   batch_ask{std::string{name}, account.number, account.accepted, account.tokens, returned, need.wanted, need.urgent, now});
 }
 
 [[nodiscard]] std::uint32_t tokensHeld(const workspace_rights &rights)
@@ -105,12 +133,12 @@
 }
 
 /** Tokens to ask for: those that requests wait for, and the coming demand less what is held. */
-[[nodiscard]] std::uint32_t tokensWanted(const rights_state &state, const workspace_rights &rights)
+[[nodiscard]] token_need tokensWanted(const rights_state &state, const workspace_rights &rights)
 {
     const auto coming = static_cast<std::uint32_t>(rights.demand * toSeconds(state.settings.batchHorizon));
     const auto held = tokensHeld(rights);
     const auto wanted = rights.waiting + (coming > held ? coming - held : 0);
-    return std::min(wanted, MaxBatchTokens);
+    return {std::min(wanted, MaxBatchTokens), std::min(rights.waiting, MaxBatchTokens)};
 }
 
 /** Gives up on an unanswered request; after several, leaves the pool alone for a while. */
@@ -144,14 +172,15 @@
     if (ask.number > batch.number) {
         settle(bucket, batch, ask);
         if (!state.leaving) {
-            grantMore(state, bucket, batch, ask.wanted, now);
+            grantMore(state, bucket, batch, ask, now);
         }
     }
     if (ask.wanted > 0) {
         const auto kept = batch.outstanding - batch.granted;
-        const auto retry = retryAfter(bucket, batch.granted, ask.wanted);
-        internal::send(
-            state, message.from, batch_grant{ask.workspace, ask.number, message.incarnation, kept, batch.granted, ask.sentAt, retry});
+        const auto retry = retryAfter(bucket, batch.granted, ask.urgent);
+        internal::send(state,
+                       message.from,
+                       batch_grant{ask.workspace, ask.number, message.incarnation, kept, batch.granted, ask.sentAt, retry, pace(bucket)});
     }
 }
 
@@ -180,15 +209,17 @@
         account.usedAt = now;
         rights.waiting -= std::min(rights.waiting, grant.tokens);
     }
-    const auto longer = grant.tokens == 0 ? std::max(2 * account.quiet, ShortestQuiet) : duration::zero();
-    account.quiet = std::min(longer, LongestQuiet);
-    if (grant.retryAfter > duration::zero()) {
-        account.quietUntil = now + std::clamp(grant.retryAfter, ShortestQuiet, std::max(account.quiet, ShortestQuiet));
+    if (grant.retryAfter == duration::zero()) {
+        account.dryStreak = 0;
+    } else {
+        const auto quiet = grant.retryAfter * (1U << std::min(account.dryStreak, MaxDoublings));
+        account.quietUntil = now + std::min(quiet, std::max(grant.pace, grant.retryAfter));
+        ++account.dryStreak;
         askPools(state, grant.workspace, rights, now);
     }
 }
 
-bool takeFromBatches(rights_state &state, workspace_rights &rights, time_point now)
+bool takeFromBatches(rights_state &state, std::string_view name, workspace_rights &rights, time_point now)
 {
     pool_account *soonest{nullptr};
     for (auto &account : rights.accounts) {
@@ -202,13 +233,16 @@
     }
     --soonest->tokens;
     soonest->usedAt = now;
+    if (soonest->tokens == 0 && soonest->dryStreak > 0 && !soonest->waiting) {
+        sendAsk(state, name, *soonest, 0, {}, now);
+    }
     return true;
 }
 
 void askPools(rights_state &state, std::string_view name, workspace_rights &rights, time_point now)
 {
-    const auto wanted = tokensWanted(state, rights);
-    if (wanted == 0 || state.leaving) {
+    const auto need = tokensWanted(state, rights);
+    if (need.wanted == 0 || state.leaving) {
         return;
     }
     for (const auto &pool : rights.pools) {
@@ -221,7 +255,7 @@
             return;
         }
         if (now >= account.quietUntil) {
-            sendAsk(state, name, account, 0, wanted, now);
+            sendAsk(state, name, account, 0, need, now);
             return;
         }
     }
@@ -239,13 +273,16 @@
         const auto returned = idle ? account.tokens : 0;
         const auto spent = account.tokens == 0 && account.reported > 0 && now >= account.askedAt + ReportDelay;
         if (returned > 0 || spent) {
-            sendAsk(state, name, account, returned, 0, now);
+            sendAsk(state, name, account, returned, {}, now);
         }
     }
     std::erase_if(rights.accounts, [&](const pool_account &account) {
         const auto current = std::find(rights.pools.begin(), rights.pools.end(), account.pool) != rights.pools.end();
         return !current && account.tokens == 0 && !account.waiting;
     });
+    if (!answerDueAt(state, rights)) {
+        rights.waiting = 0;
+    }
     const auto low = tokensHeld(rights) < rights.demand * toSeconds(state.settings.batchHorizon) / 2.0;
     if (low && rights.waiting == 0) {
         askPools(state, name, rights, now);
--- a/src/ragwortpin/rights/batches.h
+++ b/src/ragwortpin/rights/batches.h
@@ -18,7 +18,7 @@
 void onBatchGrant(rights_state &state, const rights_message &message, const batch_grant &grant, time_point now);
 
 /** Asker: takes a token from a batch; false when none is left. */
-[[nodiscard]] bool takeFromBatches(rights_state &state, workspace_rights &rights, time_point now);
+[[nodiscard]] bool takeFromBatches(rights_state &state, std::string_view name, workspace_rights &rights, time_point now);
 
 /** Asker: asks the next pool that may have tokens, if the demand calls for it. */
 void askPools(rights_state &state, std::string_view name, workspace_rights &rights, time_point now);
--- a/src/ragwortpin/rights/messages.h
+++ b/src/ragwortpin/rights/messages.h
@@ -121,6 +121,8 @@
     std::uint32_t returned{0};
     /** Further tokens that the node would like. */
     std::uint32_t wanted{0};
+    /** Tokens among them that requests wait for. */
+    std::uint32_t urgent{0};
     /** Asker's clock before it asked; echoed in the answer. */
     time_point sentAt;
 
@@ -139,6 +141,8 @@
     time_point sentAt;
     /** Time until the pool expects to have a token again; zero when it gave all that was wanted. */
     duration retryAfter{0};
+    /** Interval at which a node that keeps asking in vain should ask. */
+    duration pace{0};
 
     bool operator==(const batch_grant &) const = default;
 };
--- a/src/ragwortpin/rights/rights.cpp
+++ b/src/ragwortpin/rights/rights.cpp
@@ -75,6 +75,22 @@
     return names;
 }
 
+/** The one pool of a workspace among all instances that can be reached. */
+[[nodiscard]] std::vector<std::string> chooseFleetPool(std::string_view workspace, const names_by_zone &names)
+{
+    std::vector<std::string_view> all;
+    for (const auto &[zone, instances] : names) {
+        all.insert(all.end(), instances.begin(), instances.end());
+    }
+    return {std::string{choosePool(workspace, all)}};
+}
+
+/** Whether a workspace's burst is so small that its tokens, divided between zones, would often lie where nobody needs them. */
+[[nodiscard]] bool usesFleetPool(const rights_settings &settings, const configuration &config, const workspace &object)
+{
+    return object.burst < settings.zonePoolBurst * static_cast<double>(config.availabilityZones.size());
+}
+
 /** Pools of a workspace: this zone's first, then those of the zones that follow in order of name, wrapping around. */
 [[nodiscard]] std::vector<std::string> choosePools(const rights_state &state, std::string_view workspace, const names_by_zone &names)
 {
@@ -93,10 +109,15 @@
 
 void refreshPools(rights_state &state)
 {
+    if (!state.config) {
+        return;
+    }
     const auto names = readyByZone(state);
-    for (auto &[name, rights] : state.workspaces) {
-        auto pools = choosePools(state, name, names);
-        if (!rights.pools.empty() && !pools.empty() && rights.pools.front() != pools.front()) {
+    for (const auto &object : state.config->workspaces) {
+        auto &rights = state.workspaces.at(object.name);
+        const auto fleetWide = usesFleetPool(state.settings, *state.config, object);
+        auto pools = fleetWide ? chooseFleetPool(object.name, names) : choosePools(state, object.name, names);
+        if (!rights.pools.empty() && rights.pools.front() != pools.front()) {
             rights.offeredAt = {};
         }
         rights.pools = std::move(pools);
@@ -197,13 +218,14 @@
         return refuse(state, UnknownWorkspaceRetry);
     }
     auto &rights = found->second;
-    if (takeFromBucket(rights.bucket, now) || takeFromBatches(state, rights, now)) {
+    if (takeFromBucket(rights.bucket, now) || takeFromBatches(state, found->first, rights, now)) {
         return admit(state, rights);
     }
     if (now <= arrivedAt) {
         ++rights.waiting;
         ++state.counters.waited;
     }
+    rights.waiting = std::max(rights.waiting, 1U);
     askPools(state, found->first, rights, now);
     const auto giveUpAt = arrivedAt + state.settings.maximumWait;
     const auto answerAt = answerDueAt(state, rights);
--- a/src/ragwortpin/rights/rights.h
+++ b/src/ragwortpin/rights/rights.h
@@ -97,8 +97,8 @@
     std::uint32_t unanswered{0};
     /** Until when the pool is not asked, because it was dry or did not answer. */
     time_point quietUntil;
-    /** Last time for which it was left alone as dry; doubles while it stays dry. */
-    duration quiet{0};
+    /** Answers in a row that gave less than was wanted. */
+    std::uint32_t dryStreak{0};
     /** Tokens that the pool counts as held by this node. */
     std::uint32_t reported{0};
     time_point usedAt;
@@ -115,7 +115,7 @@
 struct workspace_rights
 {
     token_bucket bucket;
-    /** Pool of this availability zone, then those of the others. */
+    /** Pool that rights are lent to, then those of the other availability zones. */
     std::vector<std::string> pools;
     std::vector<pool_account> accounts;
     /** Requests a second for which tokens were wanted, smoothed. */
--- a/src/ragwortpin/rights/settings.h
+++ b/src/ragwortpin/rights/settings.h
@@ -23,6 +23,8 @@
     double slotMargin{0.01};
     /** Time that an owner's rights are lent to a pool for. */
     duration loanTerm{seconds{6}};
+    /** Least burst for each availability zone with which each has its own pool; below it one pool serves all that can be reached. */
+    double zonePoolBurst{16.0};
     /** Time between a pool's renewals of a loan. */
     duration loanRenewal{milliseconds{1500}};
     /** Time that a batch of tokens may be held by the node that asked for it. */
@@ -30,13 +32,13 @@
     /** Time by which lenders wait longer and borrowers stop earlier than a loan's term or a batch's life. */
     duration margin{milliseconds{20}};
     /** Demand that a batch is sized for. */
-    duration batchHorizon{milliseconds{200}};
+    duration batchHorizon{milliseconds{100}};
     /** Time after which an unanswered request for a batch is sent again. */
     duration askTimeout{milliseconds{60}};
     /** Time after which a pool that does not answer is left alone. */
     duration poolBackoff{seconds{1}};
     /** Time after which unused tokens go back to their pool. */
-    duration idleReturn{milliseconds{150}};
+    duration idleReturn{milliseconds{100}};
     /** Longest time that a request waits for a token before it is refused. */
     duration maximumWait{milliseconds{150}};
 
--- a/src/ragwortpin/rights/wire.h
+++ b/src/ragwortpin/rights/wire.h
@@ -112,10 +112,8 @@
 
 inline void unpackNumber(const msgpack::object &object, double &value)
 {
-    if (object.type != msgpack::type::FLOAT64) {
-        throw wire_mismatch{};
-    }
-    value = object.via.f64;
+    // The library packs a floating-point number without a fraction as an integer.
+    value = object.as<double>();
     if (!std::isfinite(value) || value < 0.0) {
         throw wire_mismatch{};
     }
--- a/src/ragwortpin/rights/wire_fields.h
+++ b/src/ragwortpin/rights/wire_fields.h
@@ -56,12 +56,13 @@
 
 [[nodiscard]] auto wireFields(same_struct<batch_ask> auto &value)
 {
-    return std::tie(value.workspace, value.number, value.accepted, value.kept, value.returned, value.wanted, value.sentAt);
+    return std::tie(value.workspace, value.number, value.accepted, value.kept, value.returned, value.wanted, value.urgent, value.sentAt);
 }
 
 [[nodiscard]] auto wireFields(same_struct<batch_grant> auto &value)
 {
-    return std::tie(value.workspace, value.number, value.askerIncarnation, value.kept, value.tokens, value.sentAt, value.retryAfter);
+    return std::tie(
+        value.workspace, value.number, value.askerIncarnation, value.kept, value.tokens, value.sentAt, value.retryAfter, value.pace);
 }
 
 } // namespace ragwortpin
--- /dev/null
+++ b/tests/rights/conservation_test.cpp
@@ -0,0 +1,241 @@
+#include "bench/rights/virtual_fleet.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <algorithm>
+#include <array>
+#include <memory>
+#include <ostream>
+#include <string>
+#include <vector>
+
+using namespace ragwortpin;
+using namespace ragwortpin::bench;
+
+namespace {
+
+constexpr double Tolerance{1e-6};
+
+enum class fault : unsigned char {
+    Kill,
+    Restart,
+    Replace,
+    Pause,
+    Leave,
+    CutZone,
+    CutNode,
+    Heal,
+    Loss,
+    Duplication,
+    Jitter,
+    StoreOutage,
+    StoreLosesAnswers,
+    StoreHealthy,
+    ChangeRates,
+    MoveShares,
+    RemoveWorkspace,
+    Surge,
+    Count,
+};
+
+struct step
+{
+    fault kind{fault::Heal};
+    unsigned target{0};
+    unsigned strength{0};
+    unsigned wait{0};
+};
+
+std::ostream &operator<<(std::ostream &stream, const step &value)
+{
+    return stream << '{' << static_cast<int>(value.kind) << ", " << value.target << ", " << value.strength << ", " << value.wait << '}';
+}
+
+rc::Gen<step> anyStep()
+{
+    return rc::gen::build<step>(rc::gen::set(&step::kind,
+                                             rc::gen::map(rc::gen::inRange(0, static_cast<int>(fault::Count)),
+                                                          [](int kind) {
+                                                              return static_cast<fault>(kind);
+                                                          })),
+                                rc::gen::set(&step::target, rc::gen::inRange(0U, 64U)),
+                                rc::gen::set(&step::strength, rc::gen::inRange(0U, 10U)),
+                                rc::gen::set(&step::wait, rc::gen::inRange(0U, 10U)));
+}
+
+fleet_options smallFleet(std::uint64_t seed)
+{
+    fleet_options options;
+    options.seed = seed;
+    options.zones = {"a", "b", "c"};
+    options.nodesPerZone = 3;
+    options.drift = ClockDriftBound;
+    options.detection = milliseconds{800};
+    options.settings.slotsPerZone = 4;
+    options.settings.slotLapse = seconds{12};
+    options.settings.loanTerm = seconds{2};
+    options.settings.loanRenewal = milliseconds{500};
+    options.workspaces = {{"large", 120.0, 30.0, 1.0}, {"small", 8.0, 3.0, 1.0}};
+    return options;
+}
+
+/** Moves half of the share of one availability zone to another; the workspaces keep their rates. */
+configuration moveShares(const virtual_fleet &fleet, unsigned target)
+{
+    auto next = *fleet.config;
+    auto &zones = next.availabilityZones;
+    auto &from = zones[target % zones.size()];
+    auto &to = zones[(target + 1) % zones.size()];
+    const auto moved = from.share / 2.0;
+    from.share -= moved;
+    to.share += moved;
+    return next;
+}
+
+configuration changeRates(const virtual_fleet &fleet, unsigned strength)
+{
+    auto next = *fleet.config;
+    for (auto &object : next.workspaces) {
+        object.rate = std::max(1.0, object.rate * (0.5 + strength * 0.15));
+        object.burst = std::max(1.0, object.burst * (0.5 + strength * 0.15));
+    }
+    return next;
+}
+
+configuration removeOrRestoreWorkspace(const virtual_fleet &fleet)
+{
+    auto next = *fleet.config;
+    if (next.workspaces.size() > 1) {
+        next.workspaces.pop_back();
+    } else {
+        next.workspaces.push_back({"small", 8.0, 3.0, 1.0});
+    }
+    return next;
+}
+
+void surge(virtual_fleet &fleet, unsigned target)
+{
+    const auto node = target % fleet.nodes.size();
+    for (int request{0}; request < 60; ++request) {
+        offerRequest(fleet, node, "large");
+        offerRequest(fleet, (node + static_cast<std::size_t>(request)) % fleet.nodes.size(), "small");
+    }
+}
+
+void startIfDead(virtual_fleet &fleet, std::size_t node)
+{
+    if (!fleet.nodes[node].alive) {
+        restartNode(fleet, node);
+    }
+}
+
+void applyFault(virtual_fleet &fleet, const step &next)
+{
+    const auto node = next.target % fleet.nodes.size();
+    const auto fraction = next.strength / 20.0;
+    switch (next.kind) {
+    case fault::Kill:
+        return killNode(fleet, node);
+    case fault::Restart:
+        return restartNode(fleet, node);
+    case fault::Replace:
+        return replaceNode(fleet, node);
+    case fault::Pause:
+        return pauseNode(fleet, node, milliseconds{300} * (1 + next.strength * next.strength));
+    case fault::Leave:
+        return leaveNode(fleet, node);
+    case fault::CutZone:
+        fleet.cutZones.insert(fleet.options.zones[next.target % fleet.options.zones.size()]);
+        return;
+    case fault::CutNode:
+        fleet.cutNodes.insert(node);
+        return;
+    case fault::Heal:
+        fleet.cutZones.clear();
+        fleet.cutNodes.clear();
+        fleet.loss = fleet.duplication = 0.0;
+        fleet.jitter = duration::zero();
+        return startIfDead(fleet, node);
+    case fault::Loss:
+        fleet.loss = fraction;
+        return;
+    case fault::Duplication:
+        fleet.duplication = 2.0 * fraction;
+        return;
+    case fault::Jitter:
+        fleet.jitter = milliseconds{40} * next.strength;
+        return;
+    case fault::StoreOutage:
+        fleet.store.outage = true;
+        return;
+    case fault::StoreLosesAnswers:
+        fleet.store.lostAnswers = 2.0 * fraction;
+        return;
+    case fault::StoreHealthy:
+        fleet.store.outage = false;
+        fleet.store.lostAnswers = 0.0;
+        return;
+    case fault::ChangeRates:
+        return publish(fleet, changeRates(fleet, next.strength), seconds{2});
+    case fault::MoveShares:
+        return publish(fleet, moveShares(fleet, next.target), seconds{2});
+    case fault::RemoveWorkspace:
+        return publish(fleet, removeOrRestoreWorkspace(fleet), seconds{2});
+    case fault::Surge:
+    case fault::Count:
+        return surge(fleet, next.target);
+    }
+}
+
+/** Offers three times each workspace's rate at random nodes, so that every token that exists is taken at once. */
+void overload(virtual_fleet &fleet, time_point until)
+{
+    const auto anywhere = [&fleet] {
+        return static_cast<std::size_t>(fleet.random() % fleet.nodes.size());
+    };
+    offerLoad(fleet, "large", 360.0, anywhere, until);
+    offerLoad(fleet, "small", 30.0, anywhere, until);
+}
+
+/** Runs a schedule of faults and returns the lowest level of the reference buckets. */
+double lowestUnder(const std::vector<step> &steps, std::uint64_t seed)
+{
+    const auto fleet = std::make_unique<virtual_fleet>();
+    startFleet(*fleet, smallFleet(seed));
+    auto until = fleet->now + seconds{8};
+    overload(*fleet, until + seconds{4} * static_cast<int>(steps.size()));
+    runUntil(*fleet, until);
+    for (const auto &next : steps) {
+        applyFault(*fleet, next);
+        until += milliseconds{100} + milliseconds{30} * (next.wait * next.wait);
+        runUntil(*fleet, until);
+    }
+    runUntil(*fleet, until + seconds{3});
+    return lowestLevel(*fleet);
+}
+
+} // namespace
+
+TEST_CASE("no workspace exceeds its rate and burst over any window", "[rights][I6]")
+{
+    rc::prop("any faults", [](std::uint64_t seed) {
+        const auto steps = *rc::gen::resize(20, rc::gen::container<std::vector<step>>(anyStep()));
+        RC_ASSERT(lowestUnder(steps, seed) >= -Tolerance);
+    });
+}
+
+TEST_CASE("a healthy fleet admits what each workspace may use", "[rights]")
+{
+    const auto fleet = std::make_unique<virtual_fleet>();
+    startFleet(*fleet, smallFleet(20261204));
+    runUntil(*fleet, fleet->now + seconds{10});
+    const auto start = fleet->now;
+    overload(*fleet, start + seconds{30});
+    runUntil(*fleet, start + seconds{30});
+    const auto &large = fleet->audits.at("large");
+    const auto &small = fleet->audits.at("small");
+    CHECK(large.lowest >= -Tolerance);
+    CHECK(static_cast<double>(large.admitted) > 0.95 * (120.0 * 30.0));
+    CHECK(static_cast<double>(small.admitted) > 0.9 * (8.0 * 30.0));
+}
