--- a/src/ragwortpin/rights/batches.cpp
+++ b/src/ragwortpin/rights/batches.cpp
@@ -16,7 +16,7 @@
 /** Part of a pool's cap that should gather between two requests while the pool is dry. */
 constexpr double PaceFraction{0.25};
 /** Largest part of a pool's tokens that goes to demand that has not arrived yet. */
-constexpr std::uint32_t AheadDivisor{4};
+constexpr std::uint32_t AheadDivisor{2};
 constexpr std::uint32_t MaxDoublings{6};
 constexpr duration ReportDelay{milliseconds{20}};
 constexpr std::uint32_t MaxUnanswered{2};
--- a/src/ragwortpin/rights/settings.h
+++ b/src/ragwortpin/rights/settings.h
@@ -32,7 +32,7 @@
     /** Time by which lenders wait longer and borrowers stop earlier than a loan's term or a batch's life. */
     duration margin{milliseconds{20}};
     /** Demand that a batch is sized for. */
-    duration batchHorizon{milliseconds{100}};
+    duration batchHorizon{milliseconds{200}};
     /** Time after which an unanswered request for a batch is sent again. */
     duration askTimeout{milliseconds{60}};
     /** Time after which a pool that does not answer is left alone. */
