Keep slots for deeper requests and bound queues by time

The smoothing of demand went from 200 ms to 500 ms because rank 0 at 0.8 of the capacity was shed in 2.8 % of cases by noise alone.

--- a/src/bench/overload/baseline.cpp
+++ b/src/bench/overload/baseline.cpp
@@ -4,29 +4,29 @@
 
 namespace {
 
-    /** Queue delay that the CoDel-like gate lets stand, and for how long. */
-    constexpr duration CodelTarget{milliseconds{5}};
-    constexpr duration CodelInterval{milliseconds{100}};
+/** Queue delay that the CoDel-like gate lets stand, and for how long. */
+constexpr duration CodelTarget{milliseconds{5}};
+constexpr duration CodelInterval{milliseconds{100}};
 
-    [[nodiscard]] std::size_t queueCapacity(const baseline_gate &gate) noexcept
-    {
-        return gate.policy == control_policy::StaticLimit ? 0 : gate.connections - gate.slots;
-    }
+[[nodiscard]] std::size_t queueCapacity(const baseline_gate &gate) noexcept
+{
+    return gate.policy == control_policy::StaticLimit ? 0 : gate.connections - gate.slots;
+}
 
-    [[nodiscard]] bool dropsHead(baseline_gate &gate, time_point now) noexcept
-    {
-        if (gate.policy != control_policy::CodelLike) {
-            return false;
-        }
-        if (now - gate.queue.front().queuedAt < CodelTarget) {
-            gate.delayedSince.reset();
-            return false;
-        }
-        if (!gate.delayedSince) {
-            gate.delayedSince = now;
-        }
-        return now - *gate.delayedSince >= CodelInterval;
+[[nodiscard]] bool dropsHead(baseline_gate &gate, time_point now) noexcept
+{
+    if (gate.policy != control_policy::CodelLike) {
+        return false;
+    }
+    if (now - gate.queue.front().queuedAt < CodelTarget) {
+        gate.delayedSince.reset();
+        return false;
     }
+    if (!gate.delayedSince) {
+        gate.delayedSince = now;
+    }
+    return now - *gate.delayedSince >= CodelInterval;
+}
 
 } // namespace
 
--- a/src/bench/overload/fleet.cpp
+++ b/src/bench/overload/fleet.cpp
@@ -6,61 +6,61 @@
 
 namespace {
 
-    /** Time over which a cold target becomes as fast as a warm one. */
-    constexpr double WarmingSeconds{5.0};
-
-    /** Shape of the distribution of service times; its coefficient of variation is 0.5. */
-    constexpr double ServiceTimeShape{4.0};
-
-    [[nodiscard]] fleet_node makeNode(const fleet &state, std::size_t service, unsigned instance, time_point now)
-    {
-        const service_spec &spec{state.place.services[service]};
-        fleet_node node;
-        node.name = spec.name + "-" + std::to_string(instance);
-        node.service = service;
-        node.availabilityZone = instance % state.place.availabilityZones;
-        node.admission = makeAdmission(admission_options{}, spec.slots, spec.connections, false, now);
-        node.gate = baseline_gate{state.policy, spec.slots, spec.connections, {}, {}, {}};
-        node.routing.resize(state.place.services.size());
-        node.budgets.assign(state.place.services.size(), makeBudget(0.1));
-        return node;
-    }
+/** Time over which a cold target becomes as fast as a warm one. */
+constexpr double WarmingSeconds{5.0};
+
+/** Shape of the distribution of service times; its coefficient of variation is 0.5. */
+constexpr double ServiceTimeShape{4.0};
+
+[[nodiscard]] fleet_node makeNode(const fleet &state, std::size_t service, unsigned instance, time_point now)
+{
+    const service_spec &spec{state.place.services[service]};
+    fleet_node node;
+    node.name = spec.name + "-" + std::to_string(instance);
+    node.service = service;
+    node.availabilityZone = instance % state.place.availabilityZones;
+    node.admission = makeAdmission(admission_options{}, spec.slots, spec.connections, false, now);
+    node.gate = baseline_gate{state.policy, spec.slots, spec.connections, {}, {}, {}};
+    node.routing.resize(state.place.services.size());
+    node.budgets.assign(state.place.services.size(), makeBudget(0.1));
+    return node;
+}
 
-    [[nodiscard]] std::vector<instance_summary> summariesFor(const fleet &state, const fleet_node &viewer, std::size_t service)
-    {
-        std::vector<instance_summary> summaries;
-        for (const auto &node : state.nodes) {
-            if (node.service == service && node.alive) {
-                const bool own{node.availabilityZone == viewer.availabilityZone};
-                summaries.push_back(instance_summary{node.name, own, node.draining, state.place.services[service].slots});
-            }
+[[nodiscard]] std::vector<instance_summary> summariesFor(const fleet &state, const fleet_node &viewer, std::size_t service)
+{
+    std::vector<instance_summary> summaries;
+    for (const auto &node : state.nodes) {
+        if (node.service == service && node.alive) {
+            const bool own{node.availabilityZone == viewer.availabilityZone};
+            summaries.push_back(instance_summary{node.name, own, node.draining, state.place.services[service].slots});
         }
-        return summaries;
     }
+    return summaries;
+}
 
-    [[nodiscard]] fleet_node &firstInstance(fleet &state, std::size_t service)
-    {
-        return *std::find_if(state.nodes.begin(), state.nodes.end(), [&](const auto &node) {
-            return node.service == service;
-        });
-    }
+[[nodiscard]] fleet_node &firstInstance(fleet &state, std::size_t service)
+{
+    return *std::find_if(state.nodes.begin(), state.nodes.end(), [&](const auto &node) {
+        return node.service == service;
+    });
+}
 
-    void replaceByCold(fleet &state, fleet_node &node, double factor, time_point now)
-    {
-        const service_spec &spec{state.place.services[node.service]};
-        node.name += "-new";
-        node.coldAt = now;
-        node.coldFactor = factor;
-        node.admission = makeAdmission(admission_options{}, spec.slots, spec.connections, true, now);
-        announceMembership(state, now);
-    }
+void replaceByCold(fleet &state, fleet_node &node, double factor, time_point now)
+{
+    const service_spec &spec{state.place.services[node.service]};
+    node.name += "-new";
+    node.coldAt = now;
+    node.coldFactor = factor;
+    node.admission = makeAdmission(admission_options{}, spec.slots, spec.connections, true, now);
+    announceMembership(state, now);
+}
 
-    void removeZone(fleet &state)
-    {
-        for (auto &node : state.nodes) {
-            node.alive = node.alive && node.availabilityZone != 0;
-        }
+void removeZone(fleet &state)
+{
+    for (auto &node : state.nodes) {
+        node.alive = node.alive && node.availabilityZone != 0;
     }
+}
 
 } // namespace
 
@@ -96,8 +96,8 @@
     return static_cast<std::size_t>(found - state.nodes.begin());
 }
 
-std::optional<std::size_t> chooseNode(
-    fleet &state, fleet_node &caller, std::size_t service, std::vector<std::size_t> &tried, time_point now, std::mt19937_64 &random)
+std::optional<std::size_t>
+chooseNode(fleet &state, fleet_node &caller, std::size_t service, std::vector<std::size_t> &tried, time_point now, std::mt19937_64 &random)
 {
     const routing_state &routing{caller.routing[service]};
     std::optional<std::size_t> index;
--- a/src/bench/overload/fleet.h
+++ b/src/bench/overload/fleet.h
@@ -57,8 +57,8 @@
 [[nodiscard]] std::size_t nodeNamed(const fleet &state, const std::string &name);
 
 /** Chooses the node that a call to a service goes to; the routing index goes to tried. Nothing when none is left. */
-[[nodiscard]] std::optional<std::size_t> chooseNode(
-    fleet &state, fleet_node &caller, std::size_t service, std::vector<std::size_t> &tried, time_point now, std::mt19937_64 &random);
+[[nodiscard]] std::optional<std::size_t>
+chooseNode(fleet &state, fleet_node &caller, std::size_t service, std::vector<std::size_t> &tried, time_point now, std::mt19937_64 &random);
 
 /** Draws the time that a target works on a request itself. */
 [[nodiscard]] duration drawServiceTime(const fleet &state, const fleet_node &node, time_point now, std::mt19937_64 &random);
--- a/src/bench/overload/scenario.cpp
+++ b/src/bench/overload/scenario.cpp
@@ -59,8 +59,8 @@
     place.services.clear();
     for (unsigned hop{0}; hop < 14; ++hop) {
         const bool deepest{hop == 13};
-        place.services.push_back(
-            service_spec{"service-" + std::to_string(hop), 4, deepest ? 10U : 140U, deepest ? 150U : 600U, milliseconds{deepest ? 30 : 20}});
+        place.services.push_back(service_spec{
+            "service-" + std::to_string(hop), 4, deepest ? 10U : 140U, deepest ? 150U : 600U, milliseconds{deepest ? 30 : 20}});
     }
     return place;
 }
--- a/src/bench/overload/scenario.h
+++ b/src/bench/overload/scenario.h
@@ -23,7 +23,8 @@
 };
 
 /** All policies, the baselines first. */
-inline constexpr control_policy AllPolicies[]{control_policy::None, control_policy::StaticLimit, control_policy::CodelLike, control_policy::Full};
+inline constexpr control_policy AllPolicies[]{
+    control_policy::None, control_policy::StaticLimit, control_policy::CodelLike, control_policy::Full};
 
 /** Returns the name used in tables. */
 [[nodiscard]] const char *toString(control_policy policy) noexcept;
--- a/src/ragwortpin/admission/admission.cpp
+++ b/src/ragwortpin/admission/admission.cpp
@@ -30,8 +30,11 @@
 /** Part of the capacity that is promised up the chain while the queue delay stands. */
 constexpr double StandingUtilisation{0.95};
 
-/** Time after the last arrival from deeper in a chain for which slots are kept for such work. */
-constexpr duration DeepMemory{milliseconds{1000}};
+/** Time for which a depth counts after the last arrival from it. */
+constexpr duration DepthMemory{milliseconds{1000}};
+
+/** Largest part of the limit that is kept for deeper requests. */
+constexpr double MostReserved{0.5};
 
 constexpr duration ShortestRetryAfter{milliseconds{1000}};
 constexpr duration LongestRetryAfter{milliseconds{10000}};
@@ -67,16 +70,43 @@
 
 [[nodiscard]] std::size_t queueCapacity(const admission_state &state) noexcept
 {
-    return std::max(ShortestQueue, static_cast<std::size_t>(state.options.queueFactor * currentLimit(state.limit)));
+    const double limit{static_cast<double>(currentLimit(state.limit))};
+    const double turnovers{static_cast<double>(state.options.longestDelay.count()) / averageWorkOf(state)};
+    return std::max(ShortestQueue, static_cast<std::size_t>(limit * std::min(state.options.queueFactor, turnovers)));
 }
 
-[[nodiscard]] std::size_t reserveForDeep(const admission_state &state, time_point now) noexcept
+void noteDepth(admission_state &state, unsigned depth, time_point now)
 {
-    if (!state.deepSeenAt || now - *state.deepSeenAt > DeepMemory) {
-        return 0;
-    }
+    std::erase_if(state.depths, [&](const auto &seen) {
+        return seen.depth == depth || now - seen.seenAt > DepthMemory;
+    });
+    state.depths.push_back(seen_depth{depth, now});
+}
+
+/** Returns the slots that requests of a depth leave to deeper ones, which others may hold slots for. */
+[[nodiscard]] std::size_t reserveFrom(const admission_state &state, unsigned depth, time_point now) noexcept
+{
+    const auto deeper = std::count_if(state.depths.begin(), state.depths.end(), [&](const auto &seen) {
+        return seen.depth > depth && now - seen.seenAt <= DepthMemory;
+    });
     const double limit{static_cast<double>(currentLimit(state.limit))};
-    return static_cast<std::size_t>(std::min(limit - 1.0, std::ceil(state.options.deepReserve * limit)));
+    const double kept{std::ceil(state.options.deepReserve * limit) * static_cast<double>(deeper)};
+    return static_cast<std::size_t>(std::min(kept, std::floor(MostReserved * limit)));
+}
+
+/** Returns the least depth that may have a slot now; nothing when all slots are taken. */
+[[nodiscard]] std::optional<unsigned> leastDepthToStart(const admission_state &state, time_point now) noexcept
+{
+    const std::size_t limit{currentLimit(state.limit)};
+    std::optional<unsigned> least;
+    for (const auto &queued : state.queue) {
+        const unsigned depth{queued.request.depth};
+        const bool fits{state.running.size() + reserveFrom(state, depth, now) < limit};
+        if (fits && (!least || depth < *least)) {
+            least = depth;
+        }
+    }
+    return least;
 }
 
 [[nodiscard]] bool isStanding(const admission_state &state, time_point now) noexcept
@@ -100,22 +130,19 @@
     }
 }
 
-/** Finds the queued request that may have a free slot: new work leaves the reserve alone, unless it is the more important. */
+/** Finds the queued request that may have a free slot. A less important one never passes by a more important one. */
 [[nodiscard]] std::optional<std::size_t> nextStart(const admission_state &state, time_point now) noexcept
 {
-    const std::size_t limit{currentLimit(state.limit)};
-    const bool standing{isStanding(state, now)};
-    if (state.queue.empty() || state.running.size() >= limit) {
+    if (state.queue.empty() || state.running.size() >= currentLimit(state.limit)) {
         return std::nullopt;
     }
-    if (state.running.size() + reserveForDeep(state, now) < limit) {
-        return nextInTurn(state, standing, false);
+    const auto leastDepth = leastDepthToStart(state, now);
+    if (!leastDepth) {
+        return std::nullopt;
     }
-    const auto deep = nextInTurn(state, standing, true);
-    const bool anyDeep{std::any_of(state.queue.begin(), state.queue.end(), [](const auto &queued) {
-        return queued.request.depth > 0;
-    })};
-    return !deep && anyDeep ? nextInTurn(state, standing, false) : deep;
+    const bool standing{isStanding(state, now)};
+    const auto fitting = nextInTurn(state, standing, *leastDepth);
+    return fitting ? fitting : nextInTurn(state, standing, 0);
 }
 
 void startQueued(admission_state &state, admission_changes &changes, time_point now)
@@ -241,16 +268,14 @@
     const double work{internal::workOf(state, request)};
     observeDemand(state.demand, request.workspace, request.rank, request.weight, work / 1e6, request.admitProbability);
     updateDemand(state.demand, internal::promisedCapacity(state, now), now);
-    if (request.depth > 0) {
-        state.deepSeenAt = now;
-    }
+    internal::noteDepth(state, request.depth, now);
     if (state.limit.bound == 0) {
         return internal::refuse(state, refusal_kind::Overloaded);
     }
     if (internal::isTooLate(state, request, now)) {
         return internal::refuse(state, refusal_kind::DeadlineExceeded);
     }
-    const std::size_t reserve{request.depth > 0 ? 0 : internal::reserveForDeep(state, now)};
+    const std::size_t reserve{internal::reserveFrom(state, request.depth, now)};
     if (state.queue.empty() && state.running.size() + reserve < currentLimit(state.limit)) {
         internal::start(state, request, work, now);
         return admission_decision{admission_verdict::Started, refusal_kind::Overloaded, {}, {}};
--- a/src/ragwortpin/admission/admission.h
+++ b/src/ragwortpin/admission/admission.h
@@ -94,12 +94,14 @@
     concurrency_limit_options limit;
     /** Longest queue, as a multiple of the limit. */
     double queueFactor{2.0};
+    /** Longest time that a queue of average requests may take to empty. */
+    duration longestDelay{milliseconds{100}};
     /** Queue delay that counts as standing once it lasted for standingInterval. */
     duration standingDelay{milliseconds{20}};
     duration standingInterval{milliseconds{200}};
     /** Part of the capacity that is promised up the chain. */
     double targetUtilisation{0.98};
-    /** Part of the limit kept from new work while deeper work comes to the same target. */
+    /** Part of the limit kept from a request for each greater depth from which requests come to the same target. */
     double deepReserve{0.1};
 
     bool operator==(const admission_options &) const = default;
@@ -154,6 +156,15 @@
     bool operator==(const rank_clock &) const = default;
 };
 
+/** Depth in a chain that requests to the target come from. */
+struct seen_depth
+{
+    unsigned depth{0};
+    time_point seenAt{};
+
+    bool operator==(const seen_depth &) const = default;
+};
+
 /** Counts since the start, for metrics. */
 struct admission_counters
 {
@@ -183,8 +194,8 @@
     double averageWork{0.0};
     /** Instant since which the queue delay was never below the standing delay; nothing while it is below. */
     std::optional<time_point> delayedSince;
-    /** Instant at which a request deeper in a chain last arrived. */
-    std::optional<time_point> deepSeenAt;
+    /** Depths that requests arrived from of late. */
+    std::vector<seen_depth> depths;
     admission_counters counters;
 
     bool operator==(const admission_state &) const = default;
--- a/src/ragwortpin/admission/demand.cpp
+++ b/src/ragwortpin/admission/demand.cpp
@@ -16,14 +16,21 @@
 constexpr duration DemandInterval{milliseconds{50}};
 
 /** Time constant of the smoothing. */
-constexpr duration DemandMemory{milliseconds{200}};
+constexpr duration DemandMemory{milliseconds{500}};
 
 /** Least probability that a request's work is scaled up by. */
-constexpr double LeastProbability{1.0 / 256.0};
+constexpr double LeastProbability{1.0 / 2048.0};
 
 /** Rate, in seconds of service time a second, below which a demand is forgotten. */
 constexpr double ForgottenRate{1e-6};
 
+/** Part of the relative error of the arrivals that the correction takes up in a second. */
+constexpr double CorrectionGain{0.25};
+
+/** Bounds of the correction. */
+constexpr double LeastCorrection{0.8};
+constexpr double MostCorrection{1.05};
+
 [[nodiscard]] auto findDemand(std::vector<workspace_demand> &demands, std::string_view workspace, unsigned rank)
 {
     return std::lower_bound(demands.begin(), demands.end(), std::tuple{rank, workspace}, [](const auto &demand, const auto &key) {
@@ -38,6 +45,8 @@
         demand.rate += gain * (demand.arriving / elapsedSeconds - demand.rate);
         demand.arriving = 0.0;
     }
+    state.arrivalRate += gain * (state.arriving / elapsedSeconds - state.arrivalRate);
+    state.arriving = 0.0;
     std::erase_if(state.demands, [](const auto &demand) {
         return demand.rate < ForgottenRate;
     });
@@ -80,7 +89,21 @@
     }
 }
 
-void shareCapacity(std::vector<workspace_demand> &demands, double capacity)
+[[nodiscard]] bool isShedding(const demand_estimate &state) noexcept
+{
+    return std::any_of(state.demands.begin(), state.demands.end(), [](const auto &demand) {
+        return demand.probability < 1.0;
+    });
+}
+
+void correctCapacity(demand_estimate &state, double capacity, double elapsedSeconds) noexcept
+{
+    const double error{isShedding(state) ? (capacity - state.arrivalRate) / capacity : 1.0 - state.correction};
+    const double corrected{state.correction + CorrectionGain * std::min(1.0, elapsedSeconds) * error};
+    state.correction = std::clamp(corrected, LeastCorrection, MostCorrection);
+}
+
+void shareCapacity(std::vector<workspace_demand> &demands, double capacity, double correction)
 {
     double remaining{capacity};
     for (std::size_t first{0}; first < demands.size();) {
@@ -92,7 +115,7 @@
             ++last;
         }
         if (rate > remaining) {
-            shareRank(std::span{demands}.subspan(first, last - first), remaining);
+            shareRank(std::span{demands}.subspan(first, last - first), remaining * correction);
         }
         remaining = std::max(0.0, remaining - rate);
         first = last;
@@ -113,6 +136,7 @@
     const double thinned{std::max({admitProbability, position->probability, internal::LeastProbability})};
     position->weight = weight;
     position->arriving += workSeconds / thinned;
+    state.arriving += workSeconds;
 }
 
 void updateDemand(demand_estimate &state, double capacity, time_point now)
@@ -123,7 +147,10 @@
     }
     state.intervalStart = now;
     internal::smoothRates(state, toSeconds(elapsed));
-    internal::shareCapacity(state.demands, capacity);
+    if (capacity > 0.0) {
+        internal::correctCapacity(state, capacity, toSeconds(elapsed));
+    }
+    internal::shareCapacity(state.demands, capacity, state.correction);
 }
 
 shed_level levelOf(const demand_estimate &state, std::string_view workspace) noexcept
--- a/src/ragwortpin/admission/demand.h
+++ b/src/ragwortpin/admission/demand.h
@@ -33,6 +33,11 @@
     /** Sorted by rank, then workspace. */
     std::vector<workspace_demand> demands;
     time_point intervalStart{};
+    /** Work that arrived in the running interval, and its smoothed rate, in seconds of service time (a second), as it came. */
+    double arriving{0.0};
+    double arrivalRate{0.0};
+    /** Factor on the capacity that keeps what arrives at the capacity although first hops act on old levels. */
+    double correction{1.0};
 
     bool operator==(const demand_estimate &) const = default;
 };
--- a/src/ragwortpin/admission/fair_queue.cpp
+++ b/src/ragwortpin/admission/fair_queue.cpp
@@ -69,12 +69,12 @@
 
 [[nodiscard]] bool isBefore(const turn &left, const turn &right, bool newestFirst) noexcept
 {
-    if (left.work != right.work) {
-        return left.work < right.work;
-    }
     if (left.depth != right.depth) {
         return left.depth > right.depth;
     }
+    if (left.work != right.work) {
+        return left.work < right.work;
+    }
     return newestFirst ? left.position > right.position : left.position < right.position;
 }
 
@@ -130,13 +130,13 @@
     account.averageWork = account.averageWork <= 0.0 ? work : account.averageWork + AverageGain * (work - account.averageWork);
 }
 
-std::optional<std::size_t> nextInTurn(const admission_state &state, bool newestFirst, bool deepOnly) noexcept
+std::optional<std::size_t> nextInTurn(const admission_state &state, bool newestFirst, unsigned leastDepth) noexcept
 {
     const unsigned rank{bestRank(state)};
     std::optional<turn> best;
     for (std::size_t position{0}; position < state.queue.size(); ++position) {
         const admission_request &request{state.queue[position].request};
-        if (request.rank != rank || (deepOnly && request.depth == 0)) {
+        if (request.rank != rank || request.depth < leastDepth) {
             continue;
         }
         const turn candidate{position, hadWork(state, request), request.depth};
--- a/src/ragwortpin/admission/fair_queue.h
+++ b/src/ragwortpin/admission/fair_queue.h
@@ -25,10 +25,10 @@
 
 /**
  * Finds the queued request that is next in turn: most important rank, workspace with the least work had for its weight,
- * deepest, then oldest, or newest if newestFirst. With deepOnly, only requests of the most important waiting rank that came
- * from deeper in a chain count.
+ * deepest, then oldest, or newest if newestFirst. Of the most important waiting rank, only requests of at least the given
+ * depth count.
  */
-[[nodiscard]] std::optional<std::size_t> nextInTurn(const admission_state &state, bool newestFirst, bool deepOnly) noexcept;
+[[nodiscard]] std::optional<std::size_t> nextInTurn(const admission_state &state, bool newestFirst, unsigned leastDepth) noexcept;
 
 /** Finds the queued request that is given up first: the reverse of the order of turns, counting waiting work as had. */
 [[nodiscard]] std::optional<std::size_t> lastInTurn(const admission_state &state, bool newestFirst) noexcept;
--- a/src/ragwortpin/admission/first_hop.cpp
+++ b/src/ragwortpin/admission/first_hop.cpp
@@ -47,7 +47,9 @@
 
 void mergeLevel(heard_level &heard, const shed_level &level, const first_hop_options &options, time_point now) noexcept
 {
-    heard.cursor += options.smoothing * (cursorOf(level, heard.cursor) - heard.cursor);
+    const double faded{1.0 - std::exp(-toSeconds(now - heard.heardAt) / toSeconds(options.memory))};
+    const double gain{std::max(options.smoothing, faded)};
+    heard.cursor += gain * (cursorOf(level, heard.cursor) - heard.cursor);
     heard.heardAt = now;
 }
 
--- a/src/ragwortpin/admission/first_hop.h
+++ b/src/ragwortpin/admission/first_hop.h
@@ -42,12 +42,14 @@
 {
     /** Weight of a new answer against what was heard before. */
     double smoothing{0.25};
+    /** Time over which what was heard before loses its weight. */
+    duration memory{milliseconds{300}};
     /** Age up to which a level is taken as it was heard. */
-    duration hold{milliseconds{500}};
+    duration hold{milliseconds{2000}};
     /** Time over which an older level relaxes to shedding nothing. */
-    duration relax{milliseconds{2000}};
+    duration relax{milliseconds{4000}};
     /** Share of requests that is always let pass, to keep the levels current. */
-    double probeProbability{1.0 / 256.0};
+    double probeProbability{1.0 / 2048.0};
 
     bool operator==(const first_hop_options &) const = default;
 };
