--- /dev/null
+++ b/src/bench/overload/experiments.cpp
@@ -0,0 +1,23 @@
+#include "bench/overload/experiments.h"
+
+namespace ragwortpin::bench {
+
+namespace {
+
+constexpr experiment Experiments[]{
+    {"goodput", runGoodput},
+    {"metastable", runMetastable},
+    {"faults", runFaults},
+    {"fairness", runFairness},
+    {"attempts", runAttempts},
+    {"cost", runCost},
+};
+
+} // namespace
+
+std::span<const experiment> allExperiments() noexcept
+{
+    return Experiments;
+}
+
+} // namespace ragwortpin::bench
--- a/src/bench/overload/fleet.cpp
+++ b/src/bench/overload/fleet.cpp
@@ -70,6 +70,7 @@
     state.place = place;
     state.policy = policy;
     state.slowness.assign(place.services.size(), 1.0);
+    state.broken.assign(place.services.size(), 0.0);
     for (std::size_t service{0}; service < place.services.size(); ++service) {
         for (unsigned instance{0}; instance < place.services[service].instances; ++instance) {
             state.nodes.push_back(makeNode(state, service, instance, now));
@@ -150,6 +151,9 @@
     case fault_kind::ZoneGone:
         removeZone(state);
         break;
+    case fault_kind::Broken:
+        state.broken[cause.service] = cause.factor;
+        break;
     }
 }
 
@@ -157,6 +161,7 @@
 {
     fleet_node &node{firstInstance(state, cause.service)};
     state.slowness[cause.service] = 1.0;
+    state.broken[cause.service] = 0.0;
     node.lying = false;
     node.hanging = false;
     node.slowFactor = 1.0;
--- a/src/bench/overload/fleet.h
+++ b/src/bench/overload/fleet.h
@@ -45,6 +45,8 @@
     std::vector<fleet_node> nodes;
     /** Factor on the service time, by service. */
     std::vector<double> slowness;
+    /** Part of requests whose connection breaks, by service. */
+    std::vector<double> broken;
 };
 
 /** Makes the nodes of a deployment, spread over its availability zones. */
--- /dev/null
+++ b/src/bench/overload/report.h
@@ -0,0 +1,55 @@
+#ifndef RAGWORTPIN_BENCH_OVERLOAD_REPORT_H
+#define RAGWORTPIN_BENCH_OVERLOAD_REPORT_H
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace ragwortpin::bench {
+
+/** A table of figures, one row a run. */
+struct table
+{
+    std::string title;
+    std::vector<std::string> columns;
+    std::vector<std::vector<std::string>> rows;
+};
+
+/** Points of one line, as x and y. */
+struct series
+{
+    std::string name;
+    std::vector<std::pair<double, double>> points;
+};
+
+/** A diagram of lines. */
+struct line_chart
+{
+    std::string title;
+    std::string xLabel;
+    std::string yLabel;
+    std::vector<series> lines;
+};
+
+/** What an experiment found. */
+struct report
+{
+    std::vector<table> tables;
+    std::vector<line_chart> charts;
+};
+
+/** Formats a number with so many digits after the point. */
+[[nodiscard]] std::string formatNumber(double value, int digits);
+
+/** Formats a table as Markdown. */
+[[nodiscard]] std::string toMarkdown(const table &content);
+
+/** Formats tables as one JSON document. */
+[[nodiscard]] std::string toJson(const std::vector<table> &tables);
+
+/** Formats diagrams, one below the other, as an SVG document. */
+[[nodiscard]] std::string toSvg(const std::vector<line_chart> &charts);
+
+} // namespace ragwortpin::bench
+
+#endif
--- a/src/bench/overload/scenario.h
+++ b/src/bench/overload/scenario.h
@@ -76,6 +76,8 @@
     Leave,
     /** All instances of the first availability zone vanish. */
     ZoneGone,
+    /** All targets of the service break the connection before they read, for the part of requests that the factor says. */
+    Broken,
 };
 
 /** A fault in the half-open span [from, until). */
--- a/src/bench/overload/world.cpp
+++ b/src/bench/overload/world.cpp
@@ -38,6 +38,7 @@
     double probability{1.0};
     retry_escrow escrow;
     bool counted{false};
+    std::uint64_t deepestAttempts{0};
     bool finished{false};
     bool answered{false};
     double work{0.0};
@@ -388,6 +389,8 @@
         fleet_node &node{m_fleet.nodes[request->node]};
         if (request->call->depth + 1 == m_plan.chain.size() && request->call->root->counted) {
             m_result.deepestAttempts += 1;
+            request->call->root->deepestAttempts += 1;
+            m_result.mostDeepestAttempts = std::max(m_result.mostDeepestAttempts, request->call->root->deepestAttempts);
         }
         if (!node.alive || node.draining) {
             call_result gone;
@@ -397,6 +400,12 @@
             reply(request, gone);
             return;
         }
+        if (uniform() < m_fleet.broken[node.service]) {
+            call_result broken;
+            broken.result = outcome::NotRun;
+            reply(request, broken);
+            return;
+        }
         m_attempts.emplace(request->id, request);
         const auto decision = offerTo(node, *request);
         refuseAll(decision.displaced, refusal_kind::Overloaded);
--- a/src/bench/overload/world.h
+++ b/src/bench/overload/world.h
@@ -36,6 +36,8 @@
     /** Attempts of clients that passed the first hop, and attempts that reached the deepest service. */
     std::uint64_t roots{0};
     std::uint64_t deepestAttempts{0};
+    /** Most attempts at the deepest service for one client attempt. */
+    std::uint64_t mostDeepestAttempts{0};
     /** Requests that were in flight at a target when its drain began and got no whole answer. */
     std::uint64_t cutByDrain{0};
     /** Seconds that figures were counted for. */
--- a/src/bench/ragwortpin_overload_bench.cpp
+++ b/src/bench/ragwortpin_overload_bench.cpp
@@ -1,54 +1,129 @@
-#include "bench/overload/world.h"
-#include <chrono>
-#include <cstdio>
+#include "bench/overload/experiments.h"
+
 #include <cstdlib>
+#include <fstream>
+#include <getopt.h>
+#include <iostream>
+#include <optional>
 #include <string>
-using namespace ragwortpin;
+
+namespace {
+
 using namespace ragwortpin::bench;
+
+constexpr const char *Usage{R"(Usage: ragwortpin-overload-bench [OPTION]...
+Runs the overload decisions against a small fake of the services in virtual time and prints tables.
+
+  --experiment NAME   goodput, metastable, faults, fairness, attempts, cost or all (the default)
+  --deployment NAME   khelachitra, confetti-cove, deep-chain or all (the default)
+  --seed N            seed of all randomness (default 1)
+  --json              print JSON in place of Markdown
+  --svg FILE          also write the diagrams to FILE
+  --help              print this text
+)"};
+
+/** Settings from the command line. */
+struct bench_options
+{
+    std::string experiment{"all"};
+    std::string deployment{"all"};
+    std::uint64_t seed{1};
+    bool json{false};
+    std::string svg;
+    bool help{false};
+};
+
+[[nodiscard]] std::optional<bench_options> parseOptions(int argc, char **argv)
+{
+    static const option known[]{
+        {"experiment", required_argument, nullptr, 'e'},
+        {"deployment", required_argument, nullptr, 'd'},
+        {"seed", required_argument, nullptr, 's'},
+        {"json", no_argument, nullptr, 'j'},
+        {"svg", required_argument, nullptr, 'v'},
+        {"help", no_argument, nullptr, 'h'},
+        {nullptr, 0, nullptr, 0},
+    };
+    bench_options options;
+    for (int key{getopt_long(argc, argv, "", known, nullptr)}; key != -1; key = getopt_long(argc, argv, "", known, nullptr)) {
+        switch (key) {
+        case 'e':
+            options.experiment = optarg;
+            break;
+        case 'd':
+            options.deployment = optarg;
+            break;
+        case 's':
+            options.seed = std::strtoull(optarg, nullptr, 10);
+            break;
+        case 'j':
+            options.json = true;
+            break;
+        case 'v':
+            options.svg = optarg;
+            break;
+        case 'h':
+            options.help = true;
+            break;
+        default:
+            return std::nullopt;
+        }
+    }
+    return options;
+}
+
+[[nodiscard]] experiment_input inputFor(const bench_options &options)
+{
+    experiment_input input;
+    input.seed = options.seed;
+    for (auto &place : {khelachitra(), confettiCove(), deepChain()}) {
+        if (options.deployment == "all" || options.deployment == place.name) {
+            input.places.push_back(place);
+        }
+    }
+    return input;
+}
+
+void append(report &whole, const report &part)
+{
+    whole.tables.insert(whole.tables.end(), part.tables.begin(), part.tables.end());
+    whole.charts.insert(whole.charts.end(), part.charts.begin(), part.charts.end());
+}
+
+void print(const report &found, bool json)
+{
+    if (json) {
+        std::cout << toJson(found.tables);
+        return;
+    }
+    for (const auto &content : found.tables) {
+        std::cout << toMarkdown(content) << '\n';
+    }
+}
+
+} // namespace
+
 int main(int argc, char **argv)
 {
-    std::string what = argc > 1 ? argv[1] : "goodput";
-    int only = argc > 2 ? atoi(argv[2]) : -1;
-    for (auto place : {khelachitra(), confettiCove(), deepChain()}) {
-        std::vector<std::vector<std::size_t>> chains;
-        if (place.name == "khelachitra")
-            chains = {{0, 2, 3}, {0, 1, 2, 3, 0, 1, 2, 3, 0, 1, 2, 3, 0, 1}};
-        else if (place.name == "confetti-cove")
-            chains = {{0, 2, 3}, {0, 1, 2, 3, 0, 1, 2, 3, 0, 1, 2, 3, 0, 1}};
-        else
-            chains = {{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13}};
-        for (auto &chain : chains)
-            for (double load : {0.8, 1.0, 2.0, 5.0, 10.0}) {
-                for (auto p : AllPolicies) {
-                    if (only >= 0 && (int)p != only)
-                        continue;
-                    scenario s;
-                    s.place = place;
-                    s.policy = p;
-                    s.chain = chain;
-                    s.tenants = usualTenants(load);
-                    s.length = seconds{chain.size() > 3 ? 20 : 10};
-                    s.warmUp = seconds{chain.size() > 3 ? 5 : 2};
-                    s.clientTimeout = milliseconds{chain.size() > 3 ? 2000 : 1000};
-                    auto t0 = std::chrono::steady_clock::now();
-                    auto r = run(s);
-                    double cap = capacityOf(place, chain);
-                    double el = std::chrono::duration<double>(std::chrono::steady_clock::now() - t0).count();
-                    printf("%s d%zu load %.1f %-12s cap %.0f goodput %.3f rank0 %.4f r1 %.3f r2 %.3f r3 %.3f waste %.4f (%.1fs)\n",
-                           place.name.c_str(),
-                           chain.size(),
-                           load,
-                           toString(p),
-                           cap,
-                           r.total.finished / r.measuredSeconds / cap,
-                           double(r.byRank[0].answered) / r.byRank[0].arrived,
-                           double(r.byRank[1].answered) / r.byRank[1].arrived,
-                           double(r.byRank[2].answered) / r.byRank[2].arrived,
-                           double(r.byRank[3].answered) / r.byRank[3].arrived,
-                           r.wastedWork / (r.usefulWork + r.wastedWork),
-                           el);
-                    fflush(stdout);
-                }
-            }
+    const auto options = parseOptions(argc, argv);
+    if (!options || options->help) {
+        (options ? std::cout : std::cerr) << Usage;
+        return options ? EXIT_SUCCESS : EXIT_FAILURE;
+    }
+    const experiment_input input{inputFor(*options)};
+    report found;
+    for (const auto &candidate : allExperiments()) {
+        if (options->experiment == "all" || options->experiment == candidate.name) {
+            append(found, candidate.run(input));
+        }
+    }
+    if (found.tables.empty() || input.places.empty()) {
+        std::cerr << "unknown experiment or deployment; see --help for the names\n";
+        return EXIT_FAILURE;
+    }
+    print(found, options->json);
+    if (!options->svg.empty()) {
+        std::ofstream{options->svg} << toSvg(found.charts);
     }
+    return EXIT_SUCCESS;
 }
