--- /dev/null
+++ b/src/ragwortpin/peers/signature.cpp
@@ -0,0 +1,29 @@
+#include "ragwortpin/peers/signature.h"
+
+#include "ragwortpin/identity/digest.h"
+
+namespace ragwortpin {
+
+namespace {
+
+bool isSignedWith(std::string_view body, std::string_view signature, std::string_view secret)
+{
+    if (secret.empty()) {
+        return false;
+    }
+    return constantTimeEqual(signatureOf(body, secret), signature);
+}
+
+} // namespace
+
+std::string signatureOf(std::string_view body, std::string_view secret)
+{
+    return toHex(hmacSha256(secret, body));
+}
+
+bool isSigned(std::string_view body, std::string_view signature, const datagram_secrets &secrets)
+{
+    return isSignedWith(body, signature, secrets.current) || isSignedWith(body, signature, secrets.previous);
+}
+
+} // namespace ragwortpin
