--- a/src/standins/support/http_client.cpp
+++ b/src/standins/support/http_client.cpp
@@ -92,7 +92,7 @@
 {
     auto &idle = m_idle[address];
     while (!idle.empty()) {
-        const auto stream = idle.back();
+        auto stream = idle.back();
         idle.pop_back();
         --m_idleCount;
         if (isUsable(stream->socket())) {
--- a/src/standins/support/load_scenario.cpp
+++ b/src/standins/support/load_scenario.cpp
@@ -33,8 +33,8 @@
 class field_reader
 {
 public:
-    field_reader(YAML::Node map, std::string owner, std::vector<scenario_error> &errors)
-        : m_map{std::move(map)}
+    field_reader(const YAML::Node &map, std::string owner, std::vector<scenario_error> &errors)
+        : m_map{map}
         , m_owner{std::move(owner)}
         , m_errors{errors}
     { }
