--- a/src/ragwortpin/callers/caller_gateway.cpp
+++ b/src/ragwortpin/callers/caller_gateway.cpp
@@ -84,7 +84,7 @@
     if (!match) {
         co_return refuse(refusal_kind::UnknownRoute);
     }
-    const auto definition = match.definition();
+    const auto &definition = match.definition();
     hop.route = definition.name;
     if (key.exposedInTarget) {
         co_return refuse(refusal_kind::MalformedRequest);
--- a/src/ragwortpin/dispatch/dispatcher.cpp
+++ b/src/ragwortpin/dispatch/dispatcher.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr duration NoInstancePause{seconds{1}};
-constexpr duration OverloadPause{seconds{1}};
 
 attempt_kind classify(const call_answer &answer, const inbound_call &call)
 {
--- a/src/ragwortpin/http/message.h
+++ b/src/ragwortpin/http/message.h
@@ -50,9 +50,9 @@
     /** Largest header section, in bytes. */
     std::uint32_t headerBytes{16 * 1024};
     /** Largest request body, in bytes. */
-    std::uint64_t requestBodyBytes{1024 * 1024};
+    std::uint64_t requestBodyBytes{1024UL * 1024UL};
     /** Largest response body, in bytes. */
-    std::uint64_t responseBodyBytes{8 * 1024 * 1024};
+    std::uint64_t responseBodyBytes{8UL * 1024UL * 1024UL};
     /** Most connections that a listener keeps open. */
     std::size_t connections{1024};
     /** Longest wait for the next request on a kept-alive connection, and for a request to arrive whole. */
--- a/src/ragwortpin/identity/context.cpp
+++ b/src/ragwortpin/identity/context.cpp
@@ -37,6 +37,8 @@
 
 constexpr std::size_t SignatureBytes{32};
 constexpr std::size_t LargestHeader{4096};
+/** Fields of a sealed context; the library alone would accept fewer and leave the rest at their defaults. */
+constexpr std::uint32_t SealedFields{12};
 
 bool isSigned(std::string_view signature, std::string_view payload, const signing_keys &keys)
 {
@@ -61,7 +63,11 @@
 {
     try {
         const auto handle = msgpack::unpack(payload.data(), payload.size());
-        handle.get().convert(sealed);
+        const auto &object = handle.get();
+        if (object.type != msgpack::type::ARRAY || object.via.array.size != SealedFields) {
+            return false;
+        }
+        object.convert(sealed);
         return true;
     } catch (const std::exception &) {
         return false;
--- a/src/ragwortpin/operators/admin_server.cpp
+++ b/src/ragwortpin/operators/admin_server.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr std::uint64_t AdminBodyBytes{16 * 1024};
+constexpr std::uint64_t AdminBodyBytes{16UL * 1024UL};
 constexpr std::size_t AdminConnections{64};
 constexpr int JsonDepth{8};
 
--- a/src/ragwortpin/targets/egress_gateway.cpp
+++ b/src/ragwortpin/targets/egress_gateway.cpp
@@ -66,7 +66,7 @@
     if (!match || key.exposedInTarget) {
         co_return refuseCall(match ? refusal_kind::MalformedRequest : refusal_kind::UnknownRoute, outcome::NotRun, 0);
     }
-    const auto definition = match.definition();
+    const auto &definition = match.definition();
     if (definition.once && !isValidIdempotencyKey(toStd(request["Idempotency-Key"]))) {
         co_return refuseCall(refusal_kind::IdempotencyKeyMissing, outcome::NotRun, 0);
     }
--- /dev/null
+++ b/tests/http/server_test.cpp
@@ -0,0 +1,93 @@
+#include "loopback.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace ragwortpin;
+using namespace ragwortpin::test;
+
+namespace {
+
+struct request_case
+{
+    std::string name;
+    std::string bytes;
+    std::string expectedStart;
+    std::size_t expectedRefusals;
+};
+
+/** Sends raw bytes, closes the sending side after the answer and returns what came back. */
+std::string sendRaw(boost::asio::io_context &context, std::uint16_t port, const std::string &bytes)
+{
+    std::string answer;
+    runOn(context, [&]() -> boost::asio::awaitable<void> {
+        boost::asio::ip::tcp::socket socket{context};
+        const boost::asio::ip::tcp::endpoint server{boost::asio::ip::make_address("127.0.0.1"), port};
+        co_await socket.async_connect(server, boost::asio::use_awaitable);
+        boost::system::error_code error;
+        co_await boost::asio::async_write(
+            socket, boost::asio::buffer(bytes), boost::asio::redirect_error(boost::asio::use_awaitable, error));
+        std::string part(4096, '\0');
+        while (!error && answer.find("\r\n\r\n") == std::string::npos) {
+            const auto size = co_await socket.async_read_some(boost::asio::buffer(part),
+                                                              boost::asio::redirect_error(boost::asio::use_awaitable, error));
+            answer.append(part, 0, size);
+        }
+    });
+    return answer;
+}
+
+} // namespace
+
+TEST_CASE("the listener answers what is whole and refuses the rest truthfully")
+{
+    const std::vector<request_case> cases{
+        {"whole", "GET / HTTP/1.1\r\nHost: a\r\n\r\n", "HTTP/1.1 200", 0},
+        {"head", "HEAD / HTTP/1.1\r\nHost: a\r\n\r\n", "HTTP/1.1 200", 0},
+        {"expects to go on", "POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\nhi", "HTTP/1.1 100", 0},
+        {"no HTTP", "hello\r\n\r\n", "HTTP/1.1 400", 1},
+        {"bad length", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: x\r\n\r\n", "HTTP/1.1 400", 1},
+        {"two lengths", "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", "HTTP/1.1 400", 1},
+        {"length and chunks", "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "HTTP/1.1 400", 1},
+        {"oversized header", "GET / HTTP/1.1\r\nX: " + std::string(20'000, 'x') + "\r\n\r\n", "HTTP/1.1 431", 1},
+        {"oversized body", "POST / HTTP/1.1\r\nContent-Length: 9000000\r\n\r\n", "HTTP/1.1 413", 1},
+        {"oversized chunk", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n9000000\r\n" + std::string(3000, 'x'), "HTTP/1.1 413", 1},
+    };
+    for (const auto &entry : cases) {
+        CAPTURE(entry.name);
+        boost::asio::io_context context{1};
+        std::vector<refusal_kind> refusals;
+        http_server server{context,
+                           {},
+                           [](http_request, std::shared_ptr<call_control>) -> boost::asio::awaitable<http_response> {
+                               co_return makeResponse(http::status::ok, "text/plain", "fine");
+                           },
+                           [&refusals](refusal_kind kind) {
+                               refusals.push_back(kind);
+                           }};
+        REQUIRE_FALSE(server.listen({"127.0.0.1", 0}));
+        const auto answer = sendRaw(context, server.port(), entry.bytes);
+        CHECK(answer.substr(0, entry.expectedStart.size()) == entry.expectedStart);
+        CHECK(refusals.size() == entry.expectedRefusals);
+        if (entry.expectedRefusals > 0) {
+            CHECK(answer.find("Ragwortpin-Outcome: not_run") != std::string::npos);
+        }
+    }
+}
+
+TEST_CASE("hop-by-hop and internal fields are removed")
+{
+    http_request request{http::verb::get, "/", 11};
+    request.set("Connection", "close, X-Private");
+    request.set("X-Private", "1");
+    request.set("Keep-Alive", "5");
+    request.set("RAGWORTPIN-Context", "forged");
+    request.set("ragwortpin-anything", "forged");
+    request.set("Accept", "*/*");
+    removeHopByHopFields(request);
+    removeInternalFields(request);
+    CHECK(std::distance(request.begin(), request.end()) == 1);
+    CHECK(request[http::field::accept] == "*/*");
+}
