--- a/src/ragwortpin/platform/etcd_client.cpp
+++ b/src/ragwortpin/platform/etcd_client.cpp
@@ -68,13 +68,13 @@
         const auto first = m_preferred;
         for (std::size_t attempt{0}; attempt < count; ++attempt) {
             const auto position = (first + attempt) % count;
-            const auto share = (deadline - monotonicNow()) / static_cast<duration::rep>(count - attempt);
-            const auto result = exchange(m_settings.endpoints[position], encoded, monotonicNow() + share);
+            const auto attemptDeadline = isRead ? shareOf(deadline, count - attempt) : deadline;
+            const auto result = exchange(m_settings.endpoints[position], encoded, attemptDeadline);
+            m_preferred = result.progress == exchange_progress::Answered ? position : (position + 1) % count;
             if (result.progress == exchange_progress::NotSent) {
                 continue;
             }
             if (result.progress == exchange_progress::Answered) {
-                m_preferred = position;
                 reply = decodeAnswer(request, result.response->result_int(), result.response->body());
             } else {
                 reply.error = internal::failureAfterSending(result.error);
@@ -87,6 +87,13 @@
     }
 
 private:
+    /** Ends an attempt early enough that each of the remaining endpoints gets an equal share of the time. */
+    static time_point shareOf(time_point deadline, std::size_t attempts)
+    {
+        const auto now = monotonicNow();
+        return now + (deadline - now) / static_cast<duration::rep>(attempts);
+    }
+
     exchange_result exchange(const endpoint &server, const etcd_call &call, time_point deadline)
     {
         exchange_result result;
@@ -108,7 +115,7 @@
     etcd_settings m_settings;
     boost::asio::io_context m_context;
     http_client_pool m_pool;
-    /** Position of the endpoint that answered last. */
+    /** Position of the endpoint to try first: the one that answered last, or the one after a failed one. */
     std::size_t m_preferred{0};
 };
 
