--- a/src/ragwortpin/config/check.cpp
+++ b/src/ragwortpin/config/check.cpp
@@ -25,16 +25,6 @@
     return (character >= 'a' && character <= 'z') || (character >= '0' && character <= '9');
 }
 
-bool isName(std::string_view name) noexcept
-{
-    if (name.empty() || name.size() > limits::NameLength || !isNameStart(name.front())) {
-        return false;
-    }
-    return std::all_of(name.begin(), name.end(), [](char character) {
-        return isNameStart(character) || character == '-' || character == '_' || character == '.';
-    });
-}
-
 bool isDigest(std::string_view text) noexcept
 {
     return text.size() == DigestLength && std::all_of(text.begin(), text.end(), [](char character) {
@@ -154,7 +144,7 @@
 
     void checkName(const place &where)
     {
-        if (!isName(where.name)) {
+        if (!isObjectName(where.name)) {
             report(where,
                    "name",
                    "the name " + quoted(where.name) + " is not acceptable",
@@ -194,7 +184,7 @@
             if (zone.share == 0.0) {
                 report(where, "share", "share is 0, so no workspace could be served there", "give it a share above 0 or remove it");
             }
-            if (!isName(zone.region)) {
+            if (!isObjectName(zone.region)) {
                 report(where, "region", "region " + quoted(zone.region) + " is not acceptable", "use lower-case letters, digits and '-'");
             }
             sum += zone.share;
@@ -358,6 +348,16 @@
 
 } // namespace internal
 
+bool isObjectName(std::string_view name) noexcept
+{
+    if (name.empty() || name.size() > limits::NameLength || !internal::isNameStart(name.front())) {
+        return false;
+    }
+    return std::all_of(name.begin(), name.end(), [](char character) {
+        return internal::isNameStart(character) || character == '-' || character == '_' || character == '.';
+    });
+}
+
 std::vector<config_problem> checkConfiguration(const configuration &value, const configuration_sources &sources)
 {
     return internal::set_checker{value, sources}.run();
--- a/src/ragwortpin/operators/fwd.h
+++ b/src/ragwortpin/operators/fwd.h
@@ -6,6 +6,13 @@
 struct node_status;
 struct admin_services;
 class admin_server;
+enum class operator_command : unsigned char;
+enum class exit_code : int;
+struct command_line;
+struct command_line_result;
+struct operator_environment;
+struct file_content;
+struct node_report;
 
 } // namespace ragwortpin
 
