Let clients of the load tool try another node when one cannot be reached

Clients of a system without a tier in front try their next address; nothing was sent yet.

Chosen: up to three addresses for an attempt, only while no connection exists. The failed connects are counted apart, and a connection lost in the middle of a request is an end of its own.

--- a/src/standins/support/http_client.h
+++ b/src/standins/support/http_client.h
@@ -25,6 +25,8 @@
 {
     /** Set when no whole answer came back. */
     std::error_code error;
+    /** Whether there was a connection; without one, no byte was sent. */
+    bool connected{false};
     http_response response;
 };
 
--- a/src/standins/support/load_engine.cpp
+++ b/src/standins/support/load_engine.cpp
@@ -9,8 +9,6 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/error.hpp>
 
-#include <random>
-
 namespace ragwortpin::standins {
 
 namespace {
@@ -24,6 +22,9 @@
 /** Pause of such a client before it sends again. */
 constexpr milliseconds HardRetryPause{10};
 
+/** Addresses that a client tries before it gives up an attempt. */
+constexpr unsigned MaxConnects{3};
+
 /** Period at which the end of the load is looked for. */
 constexpr milliseconds EndCheckPeriod{20};
 
@@ -65,7 +66,10 @@
 {
     if (result.error) {
         const bool timedOut = result.error == std::error_code{make_error_code(boost::beast::error::timeout)};
-        return timedOut ? request_end::TimedOut : request_end::ConnectionFailed;
+        if (!result.connected) {
+            return request_end::NotConnected;
+        }
+        return timedOut ? request_end::TimedOut : request_end::ConnectionLost;
     }
     if (!fieldOf(result.response, "Ragwortpin-Refusal").empty()) {
         return request_end::Refused;
@@ -86,7 +90,7 @@
     if (record.end == request_end::Refused || record.end == request_end::TargetError) {
         return status == StatusTooManyRequests || status >= StatusServerError;
     }
-    return record.end == request_end::TimedOut || record.end == request_end::ConnectionFailed;
+    return record.end != request_end::Ok && record.end != request_end::Cut && record.end != request_end::Crossed;
 }
 
 } // namespace
@@ -164,7 +168,6 @@
 asio::awaitable<void> load_engine::runRequest(std::size_t index, std::size_t record, std::uint64_t randomSeed)
 {
     const auto &stream = m_scenario.streams[index];
-    const auto &addresses = stream.addresses.empty() ? m_scenario.nodes : stream.addresses;
     auto progress = m_records[record];
     const std::string idempotencyKey{stream.once ? "key-" + progress.testId : std::string{}};
     const unsigned limit = stream.retry == client_retry::Hard ? MaxHardAttempts : 1;
@@ -176,19 +179,18 @@
             asio::steady_timer timer{m_context, HardRetryPause};
             co_await timer.async_wait(asio::use_awaitable);
         }
-        std::uniform_int_distribution<std::size_t> choice{0, addresses.size() - 1};
-        again = co_await attempt(stream, progress, addresses[choice(random)], idempotencyKey);
+        again = co_await attempt(stream, progress, random, idempotencyKey);
     }
     progress.latency = monotonicNow() - began;
     m_records[record] = std::move(progress);
     --m_open;
 }
 
-asio::awaitable<bool> load_engine::attempt(const load_stream &stream, request_record &record, endpoint address, std::string idempotencyKey)
+asio::awaitable<bool>
+load_engine::attempt(const load_stream &stream, request_record &record, std::mt19937_64 &random, std::string idempotencyKey)
 {
     ++record.attempts;
-    auto request = makeRequest(stream, record.testId, idempotencyKey);
-    const auto result = co_await m_client.send(std::move(address), std::move(request), m_scenario.timeout, nullptr);
+    const auto result = co_await sendToAny(stream, record, random, std::move(idempotencyKey));
     record.end = toEnd(result, record.testId);
     record.refusal = fieldOf(result.response, "Ragwortpin-Refusal");
     record.claimed = parseOutcome(fieldOf(result.response, "Ragwortpin-Outcome"));
@@ -196,6 +198,20 @@
     co_return isWorthRetrying(record, result.response.result_int());
 }
 
+asio::awaitable<call_result>
+load_engine::sendToAny(const load_stream &stream, request_record &record, std::mt19937_64 &random, std::string idempotencyKey)
+{
+    const auto &addresses = stream.addresses.empty() ? m_scenario.nodes : stream.addresses;
+    std::uniform_int_distribution<std::size_t> choice{0, addresses.size() - 1};
+    call_result result;
+    for (unsigned connects{0}; connects < MaxConnects && !result.connected; ++connects) {
+        auto request = makeRequest(stream, record.testId, idempotencyKey);
+        result = co_await m_client.send(addresses[choice(random)], std::move(request), m_scenario.timeout, nullptr);
+        record.failedConnects += result.connected ? 0 : 1;
+    }
+    co_return result;
+}
+
 asio::awaitable<void> load_engine::finish()
 {
     asio::steady_timer timer{m_context};
--- a/src/standins/support/load_engine.h
+++ b/src/standins/support/load_engine.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -33,7 +34,10 @@
 private:
     boost::asio::awaitable<void> runStream(std::size_t index);
     boost::asio::awaitable<void> runRequest(std::size_t index, std::size_t record, std::uint64_t randomSeed);
-    boost::asio::awaitable<bool> attempt(const load_stream &stream, request_record &record, endpoint address, std::string idempotencyKey);
+    boost::asio::awaitable<bool>
+    attempt(const load_stream &stream, request_record &record, std::mt19937_64 &random, std::string idempotencyKey);
+    boost::asio::awaitable<call_result>
+    sendToAny(const load_stream &stream, request_record &record, std::mt19937_64 &random, std::string idempotencyKey);
     boost::asio::awaitable<void> finish();
     boost::asio::awaitable<std::optional<Json::Value>> getJson(endpoint address, const char *path);
     boost::asio::awaitable<void> askTarget(endpoint address);
--- a/src/standins/support/load_report.cpp
+++ b/src/standins/support/load_report.cpp
@@ -167,6 +167,8 @@
     for (const auto &record : records) {
         if (scenario.streams[record.stream].addresses.empty() && record.end != request_end::NotSent) {
             ++report.rootRequests;
+            report.clientAttempts += record.attempts;
+            report.failedConnects += record.failedConnects;
             report.targetRuns += runsOf(evidence, record.testId, "");
         }
     }
--- a/src/standins/support/load_report.h
+++ b/src/standins/support/load_report.h
@@ -91,6 +91,10 @@
     std::vector<added_latency> added;
     /** Root requests of streams without addresses of their own. */
     std::uint64_t rootRequests{0};
+    /** Their attempts by clients, retries included. */
+    std::uint64_t clientAttempts{0};
+    /** Connections to nodes that failed before another node was tried. */
+    std::uint64_t failedConnects{0};
     /** Runs of these requests and of the calls made for them, at the targets that could be asked. */
     std::uint64_t targetRuns{0};
     std::uint64_t targetsAsked{0};
--- a/src/standins/support/load_report_print.cpp
+++ b/src/standins/support/load_report_print.cpp
@@ -59,6 +59,8 @@
     if (!report.worstWorkspace.empty()) {
         out << "worst-served workspace: " << report.worstWorkspace << ", " << 100.0 * report.worstOkRatio << "% whole answers\n";
     }
+    out << "client attempts: " << report.clientAttempts << " for " << report.rootRequests << " requests, failed connects "
+        << report.failedConnects << '\n';
     if (report.targetsAsked > 0 && report.rootRequests > 0) {
         out << "target runs per request: " << static_cast<double>(report.targetRuns) / static_cast<double>(report.rootRequests) << " ("
             << report.targetRuns << " / " << report.rootRequests << ", targets asked " << report.targetsAsked << ", unreachable "
@@ -156,6 +158,8 @@
     object["worst_ok_ratio"] = report.worstOkRatio;
     object["added_latency"] = toJson(report.added);
     object["root_requests"] = static_cast<Json::UInt64>(report.rootRequests);
+    object["client_attempts"] = static_cast<Json::UInt64>(report.clientAttempts);
+    object["failed_connects"] = static_cast<Json::UInt64>(report.failedConnects);
     object["target_runs"] = static_cast<Json::UInt64>(report.targetRuns);
     object["targets_asked"] = static_cast<Json::UInt64>(report.targetsAsked);
     object["targets_unreachable"] = static_cast<Json::UInt64>(report.targetsUnreachable);
--- a/tests/standins/load_test.cpp
+++ b/tests/standins/load_test.cpp
@@ -142,6 +142,7 @@
     CHECK(report.worstWorkspace == "academy");
     CHECK(report.worstOkRatio == Approx(0.5));
     CHECK(report.rootRequests == 3);
+    CHECK(report.clientAttempts == 3);
     CHECK(report.targetRuns == 3);
     REQUIRE(report.importances.size() == 2);
     CHECK(report.importances[1].refusals == std::vector<labelled_count>{{"overloaded not_run", 1}});
