--- a/src/standins/support/endpoint.h
+++ b/src/standins/support/endpoint.h
@@ -3,11 +3,11 @@
 
 #include "standins/support/fwd.h"
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace ragwortpin::standins {
 
@@ -18,9 +18,15 @@
     std::string host;
     std::uint16_t port{0};
 
-    auto operator<=>(const endpoint &) const = default;
+    bool operator==(const endpoint &) const = default;
 };
 
+/** Orders addresses by host and port, for use as keys. */
+[[nodiscard]] inline bool operator<(const endpoint &left, const endpoint &right) noexcept
+{
+    return std::tie(left.host, left.port) < std::tie(right.host, right.port);
+}
+
 /** Parses IP:PORT. Nothing unless the address lies in 127.0.0.0/8 and the port in 1 to 65535. */
 [[nodiscard]] std::optional<endpoint> parseEndpoint(std::string_view text);
 
--- a/src/standins/support/load_report.cpp
+++ b/src/standins/support/load_report.cpp
@@ -2,9 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
-#include <functional>
 #include <map>
-#include <set>
 
 namespace ragwortpin::standins {
 
@@ -73,6 +71,41 @@
     return result;
 }
 
+/** Time that a phase lasts. */
+duration lengthOf(const load_scenario &scenario, std::size_t phase)
+{
+    const bool last = phase + 1 == scenario.phases.size();
+    const duration end = last ? scenario.length : scenario.phases[phase + 1].at;
+    return std::max(end - duration{scenario.phases[phase].at}, duration{0});
+}
+
+phase_report
+makePhase(const load_scenario &scenario, const std::vector<request_record> &records, const std::string &importance, std::size_t phase)
+{
+    phase_report report{scenario.phases[phase].name, importance};
+    for (const auto &record : records) {
+        const auto &stream = scenario.streams[record.stream];
+        const bool counts = record.phase == phase && stream.importance == importance && stream.addresses.empty();
+        report.sent += counts && record.end != request_end::NotSent ? 1 : 0;
+        report.ok += counts && record.end == request_end::Ok ? 1 : 0;
+    }
+    const auto length = toSeconds(lengthOf(scenario, phase));
+    report.goodput = length > 0.0 ? static_cast<double>(report.ok) / length : 0.0;
+    return report;
+}
+
+std::vector<phase_report>
+makePhases(const load_scenario &scenario, const std::vector<request_record> &records, const std::vector<group_report> &importances)
+{
+    std::vector<phase_report> phases;
+    for (const auto &importance : importances) {
+        for (std::size_t phase{0}; phase < scenario.phases.size(); ++phase) {
+            phases.push_back(makePhase(scenario, records, importance.name, phase));
+        }
+    }
+    return phases;
+}
+
 latency_summary
 latencyOf(const load_scenario &scenario, const std::vector<request_record> &records, const std::string &stream, std::size_t phase)
 {
@@ -162,6 +195,7 @@
     report.seed = scenario.seed;
     report.importances = makeGroups(scenario, records, &load_stream::importance);
     report.workspaces = makeGroups(scenario, records, &load_stream::workspace);
+    report.phases = makePhases(scenario, records, report.importances);
     findWorst(report);
     report.added = makeAdded(scenario, records);
     for (const auto &record : records) {
--- a/src/standins/support/load_report.h
+++ b/src/standins/support/load_report.h
@@ -50,6 +50,19 @@
     bool operator==(const group_report &) const = default;
 };
 
+/** Requests of one importance in one phase. */
+struct phase_report
+{
+    std::string phase;
+    std::string importance;
+    std::uint64_t sent{0};
+    std::uint64_t ok{0};
+    /** Whole right answers a second over the phase. */
+    double goodput{0.0};
+
+    bool operator==(const phase_report &) const = default;
+};
+
 /** Latency of a stream in one phase over that of its baseline in the same phase. */
 struct added_latency
 {
@@ -85,6 +98,8 @@
     std::uint64_t seed{0};
     std::vector<group_report> importances;
     std::vector<group_report> workspaces;
+    /** Sorted by importance, then by the time of the phase. */
+    std::vector<phase_report> phases;
     /** Workspace with the lowest share of whole right answers; empty without workspaces. */
     std::string worstWorkspace;
     double worstOkRatio{1.0};
--- a/src/standins/support/load_report_print.cpp
+++ b/src/standins/support/load_report_print.cpp
@@ -41,6 +41,21 @@
     out << '\n';
 }
 
+void printPhases(std::ostream &out, const std::vector<phase_report> &phases)
+{
+    out << std::left << std::setw(NameWidth) << "importance" << std::setw(NameWidth) << "phase" << std::right;
+    for (const auto *column : {"sent", "ok", "goodput/s"}) {
+        out << std::setw(NumberWidth) << column;
+    }
+    out << '\n';
+    for (const auto &phase : phases) {
+        out << std::left << std::setw(NameWidth) << phase.importance << std::setw(NameWidth) << phase.phase << std::right
+            << std::setw(NumberWidth) << phase.sent << std::setw(NumberWidth) << phase.ok << std::setw(NumberWidth) << phase.goodput
+            << '\n';
+    }
+    out << '\n';
+}
+
 void printAdded(std::ostream &out, const std::vector<added_latency> &rows)
 {
     for (const auto &row : rows) {
@@ -111,6 +126,21 @@
     return list;
 }
 
+Json::Value toJson(const std::vector<phase_report> &phases)
+{
+    Json::Value list{Json::arrayValue};
+    for (const auto &phase : phases) {
+        Json::Value object{Json::objectValue};
+        object["importance"] = phase.importance;
+        object["phase"] = phase.phase;
+        object["sent"] = static_cast<Json::UInt64>(phase.sent);
+        object["ok"] = static_cast<Json::UInt64>(phase.ok);
+        object["goodput_per_s"] = phase.goodput;
+        list.append(object);
+    }
+    return list;
+}
+
 Json::Value toJson(const std::vector<added_latency> &rows)
 {
     Json::Value list{Json::arrayValue};
@@ -143,6 +173,7 @@
     out << std::fixed << std::setprecision(2) << "run of " << report.lengthSeconds << " s, seed " << report.seed << "\n\n";
     printGroups(out, "importance", report.importances);
     printGroups(out, "workspace", report.workspaces);
+    printPhases(out, report.phases);
     printAdded(out, report.added);
     printTotals(out, report);
 }
@@ -154,6 +185,7 @@
     object["seed"] = static_cast<Json::UInt64>(report.seed);
     object["importances"] = toJson(report.importances);
     object["workspaces"] = toJson(report.workspaces);
+    object["phases"] = toJson(report.phases);
     object["worst_workspace"] = report.worstWorkspace;
     object["worst_ok_ratio"] = report.worstOkRatio;
     object["added_latency"] = toJson(report.added);
--- a/src/standins/support/options.cpp
+++ b/src/standins/support/options.cpp
@@ -49,6 +49,7 @@
 std::vector<option> toLongOptions(const std::vector<option_row> &rows)
 {
     std::vector<option> options;
+    options.reserve(rows.size() + 3);
     int value{0};
     for (const auto &row : rows) {
         options.push_back({row.name, row.argument == nullptr ? no_argument : required_argument, nullptr, value++});
--- a/tests/standins/load_test.cpp
+++ b/tests/standins/load_test.cpp
@@ -115,6 +115,9 @@
         RC_ASSERT(body.size() >= size);
         RC_ASSERT(checkAnswerBody(body, testId) == answer_check::Whole);
         RC_ASSERT(checkAnswerBody(body, testId + "0") == answer_check::Crossed);
+        const auto other = makeAnswerBody("clips", testId.substr(0, testId.size() - 1) + "x", body.size());
+        const auto spliced = body.substr(0, body.size() - testId.size()) + other.substr(other.size() - testId.size());
+        RC_ASSERT(checkAnswerBody(spliced, testId) == answer_check::Crossed);
         const auto shorter = *rc::gen::inRange<std::size_t>(0, body.size());
         RC_ASSERT(checkAnswerBody(body.substr(0, shorter), testId) == answer_check::Cut);
     });
@@ -148,6 +151,9 @@
     CHECK(report.importances[1].refusals == std::vector<labelled_count>{{"overloaded not_run", 1}});
     CHECK(report.importances[0].errors == std::vector<labelled_count>{{"not_sent", 1}});
     CHECK(report.importances[0].goodput == Approx(0.1));
+    REQUIRE(report.phases.size() == 4);
+    CHECK(report.phases[0] == phase_report{"start", "browse", 1, 1, 0.25});
+    CHECK(report.phases[3] == phase_report{"surge", "purchase", 0, 0, 0.0});
 }
 
 TEST_CASE("every falsehood fails a run")
