Run once-routes under claims in the platform's store

Cause: once-routes refused everything as not run until claims existed.

Chosen: the first hop that dispatches the call claims (workspace, key), on a thread of its own, since its calls block; the data thread waits for the reply until the call's deadline. A claim that is granted after its call gave up is released at once, because the call was told not_run. A not_run answer waits up to 500 ms for the release, so that a caller who retries at another node does not find its own claim still held.

Ruled out: claiming at the node beside the target after admission. It would save store writes for shed requests, but would hold a slot during the store's answer, and a retry to another instance would need a second claim.

--- /dev/null
+++ b/src/ragwortpin/node/claims_duty.cpp
@@ -0,0 +1,128 @@
+#include "ragwortpin/node/claims_duty.h"
+
+#include <random>
+#include <utility>
+
+namespace ragwortpin {
+
+namespace {
+
+constexpr std::size_t PendingCommands{256};
+constexpr seconds PruneInterval{600};
+constexpr seconds DropRetryInterval{2};
+
+seconds randomPruneInterval()
+{
+    std::random_device device;
+    std::uniform_int_distribution<long> spread{PruneInterval.count() / 2, PruneInterval.count() * 3 / 2};
+    return seconds{spread(device)};
+}
+
+} // namespace
+
+claims_duty::claims_duty(claim_settings settings, store_call call, std::function<void(claim_reply)> reply, metrics_registry &metrics)
+    : m_work{m_context.get_executor()}
+    , m_pruneTimer{m_context}
+    , m_settings{std::move(settings)}
+    , m_call{std::move(call)}
+    , m_reply{std::move(reply)}
+    , m_claims{metrics.counterFor("ragwortpin_claims_total{verdict=\"run\"}")}
+    , m_refused{metrics.counterFor("ragwortpin_claims_total{verdict=\"other\"}")}
+    , m_unrecorded{metrics.counterFor("ragwortpin_claim_outcomes_unrecorded_total")}
+    , m_claimTime{metrics.distributionFor("ragwortpin_claim_seconds")}
+    , fromData{m_context, PendingCommands, [this](const claim_command &command) {
+                   handle(command);
+               }}
+{ }
+
+claims_duty::~claims_duty()
+{
+    stop();
+}
+
+void claims_duty::start()
+{
+    schedulePruning();
+    m_thread = std::thread{[this] {
+        m_context.run();
+    }};
+}
+
+void claims_duty::stop()
+{
+    m_context.stop();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+void claims_duty::handle(const claim_command &command)
+{
+    if (const auto *asked = std::get_if<claim_ask>(&command)) {
+        ask(*asked);
+    } else if (const auto *finished = std::get_if<claim_finish>(&command)) {
+        finish(*finished);
+    } else if (const auto *dropped = std::get_if<claim_drop>(&command)) {
+        drop(dropped->handle);
+    }
+}
+
+void claims_duty::ask(const claim_ask &command)
+{
+    const auto started = monotonicNow();
+    auto result = claim(m_settings, m_call, m_breaker, command.request, monotonicNow);
+    m_claimTime.record(monotonicNow() - started);
+    (result.verdict == claim_verdict::Run ? m_claims : m_refused).add();
+    if (result.abandoned) {
+        drop(*result.abandoned);
+    }
+    m_reply({command.id, std::move(result)});
+}
+
+void claims_duty::finish(const claim_finish &command)
+{
+    std::error_code error;
+    switch (command.result) {
+    case outcome::Ran:
+        error = recordRan(m_settings, m_call, command.handle, command.answer);
+        break;
+    case outcome::NotRun:
+        error = releaseClaim(m_settings, m_call, command.handle);
+        break;
+    case outcome::Unknown:
+        error = recordUnknown(m_settings, m_call, command.handle);
+        break;
+    }
+    if (error) {
+        m_unrecorded.add();
+    }
+    m_reply({command.id, {}});
+}
+
+void claims_duty::drop(const claim_handle &abandoned)
+{
+    if (dropAbandoned(m_call, abandoned) != claims_error::StoreUnavailable) {
+        return;
+    }
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_context, DropRetryInterval);
+    timer->async_wait([this, timer, abandoned](boost::system::error_code error) {
+        if (!error) {
+            drop(abandoned);
+        }
+    });
+}
+
+void claims_duty::schedulePruning()
+{
+    m_pruneTimer.expires_after(randomPruneInterval());
+    m_pruneTimer.async_wait([this](boost::system::error_code error) {
+        if (error) {
+            return;
+        }
+        const auto step = pruneClaims(m_settings, m_call, m_pruneCursor, wallClockNow());
+        m_pruneCursor = step.next;
+        schedulePruning();
+    });
+}
+
+} // namespace ragwortpin
--- a/src/ragwortpin/node/data_plane.cpp
+++ b/src/ragwortpin/node/data_plane.cpp
@@ -61,6 +61,11 @@
                    [this](const rate_reply_event &event) {
                        m_rates.receiveReply(event.token, event.reply);
                    }}
+    , fromClaims{m_context,
+                 PlatformEvents,
+                 [this](claim_reply reply) {
+                     m_once.receive(std::move(reply));
+                 }}
     , m_settings{settings}
     , m_keys{keys}
     , m_configuration{configuration}
@@ -78,12 +83,15 @@
                    },
                    randomSeed()}
     , m_rates{m_context, toRightsSettings(settings), toRightsIdentity(settings), m_services.rates, metrics}
+    , m_once{m_context, m_dispatcher, m_services.claims}
     , m_callerServices{configuration,
                        m_dispatcher,
                        [this](std::string workspace, std::shared_ptr<call_control> control) {
                            return m_rates.take(std::move(workspace), std::move(control));
                        },
-                       m_services.makeOnceRunner(m_context, m_dispatcher),
+                       [this](inbound_call call) {
+                           return m_once.run(std::move(call));
+                       },
                        m_services.spans}
     , m_callers{m_callerServices, metrics, settings.sampleRatio, randomSeed()}
     , m_egress{m_callerServices, m_callers, m_target.inFlight(), metrics}
@@ -117,7 +125,7 @@
                    [](refusal_kind) {}}
 {
     metrics.gauge("ragwortpin_mailbox_rejected", [this] {
-        return static_cast<double>(fromControl.rejected() + fromOperators.rejected() + fromPlatform.rejected());
+        return static_cast<double>(fromControl.rejected() + fromOperators.rejected() + fromPlatform.rejected() + fromClaims.rejected());
     });
 }
 
@@ -200,6 +208,7 @@
     });
     m_timers.subscribe(now, StateTick, [this](time_point at) {
         updateOwnRecord();
+        m_once.wakeWaiting();
         advanceShutdown(at);
     });
     m_timers.subscribe(now, ForgetTick, [this](time_point at) {
--- a/src/ragwortpin/node/data_plane.h
+++ b/src/ragwortpin/node/data_plane.h
@@ -6,6 +6,7 @@
 #include "ragwortpin/http/client_pool.h"
 #include "ragwortpin/http/server.h"
 #include "ragwortpin/node/events.h"
+#include "ragwortpin/node/once_gateway.h"
 #include "ragwortpin/node/rate_driver.h"
 #include "ragwortpin/node/settings.h"
 #include "ragwortpin/peers/control_rpc_jsonrpc.h"
@@ -32,7 +33,7 @@
     /** Announces the node's own record; false when it has to be tried again. */
     std::function<bool(const instance_record &)> announceSelf;
     rate_driver_outputs rates;
-    std::function<once_runner(boost::asio::io_context &, dispatcher &)> makeOnceRunner;
+    claim_sender claims;
     span_sink spans;
     /** Methods behind the control calls of peers. */
     std::function<control_methods()> controlMethods;
@@ -68,6 +69,7 @@
     mailbox<control_event> fromControl;
     mailbox<operator_event> fromOperators;
     mailbox<rate_reply_event> fromPlatform;
+    mailbox<claim_reply> fromClaims;
 
     /** State that the node announces. Any thread. */
     [[nodiscard]] instance_state state() const noexcept
@@ -99,6 +101,7 @@
     target_gateway m_target;
     dispatcher m_dispatcher;
     rate_driver m_rates;
+    once_gateway m_once;
     caller_services m_callerServices;
     caller_gateway m_callers;
     egress_gateway m_egress;
--- a/src/ragwortpin/node/node.cpp
+++ b/src/ragwortpin/node/node.cpp
@@ -2,6 +2,7 @@
 
 #include "ragwortpin/config/check.h"
 #include "ragwortpin/config/serialise.h"
+#include "ragwortpin/node/claims_duty.h"
 #include "ragwortpin/node/data_plane.h"
 #include "ragwortpin/node/platform_duty.h"
 #include "ragwortpin/operators/admin_server.h"
@@ -54,6 +55,13 @@
     return result;
 }
 
+claim_settings toClaimSettings(const node_settings &settings)
+{
+    claim_settings result;
+    result.instance = settings.instance;
+    return result;
+}
+
 std::string describeProblems(const std::vector<config_problem> &problems)
 {
     return std::to_string(problems.size()) + " problems, the first: " + toText(problems.front());
@@ -77,6 +85,14 @@
                   }}
         , m_data{m_settings, m_keys, m_configuration, m_metrics, dataServices()}
         , m_platform{makeStoreCall({m_settings.platform, m_settings.platformTimeout}), platformOutputs(), m_metrics}
+        , m_claims{toClaimSettings(m_settings),
+                   makeStoreCall({m_settings.platform, m_settings.platformTimeout}),
+                   [this](claim_reply reply) {
+                       if (!m_data.fromClaims.trySend(std::move(reply))) {
+                           logEvent(log_level::Warning, "claim_reply_dropped");
+                       }
+                   },
+                   m_metrics}
         , m_control{toControlSettings(m_settings, m_keys), controlCallbacks()}
         , m_admin{m_adminContext, adminServices(), m_metrics}
     {
@@ -106,6 +122,7 @@
             return "cannot open gossip: " + error.message();
         }
         m_platform.start();
+        m_claims.start();
         m_adminThread = std::thread{[this] {
             m_adminContext.run();
         }};
@@ -155,10 +172,8 @@
                 logEvent(log_level::Warning, "store_call_rejected", {{"token", std::to_string(token)}});
             }
         };
-        services.makeOnceRunner = [](boost::asio::io_context &, dispatcher &) -> once_runner {
-            return [](inbound_call call) -> boost::asio::awaitable<call_answer> {
-                co_return refuseCall(refusal_kind::StoreUnavailable, outcome::NotRun, call.context.retryAllowance, seconds{1});
-            };
+        services.claims = [this](claim_command command) {
+            return m_claims.fromData.trySend(std::move(command));
         };
         services.spans = [this](span value) {
             if (!m_spans.trySend(std::move(value))) {
@@ -310,6 +325,7 @@
     {
         m_control.stop();
         m_platform.stop();
+        m_claims.stop();
         m_data.stop();
         m_adminContext.stop();
         m_telemetryContext.stop();
@@ -334,6 +350,7 @@
     std::atomic<std::uint32_t> m_reportedLoad{0};
     data_plane m_data;
     platform_duty m_platform;
+    claims_duty m_claims;
     control_duty m_control;
     admin_server m_admin;
     std::thread m_dataThread;
--- /dev/null
+++ b/src/ragwortpin/node/once_gateway.cpp
@@ -0,0 +1,137 @@
+#include "ragwortpin/node/once_gateway.h"
+
+#include <random>
+#include <string>
+
+namespace ragwortpin {
+
+namespace {
+
+constexpr duration StorePause{seconds{1}};
+/** Longest time that a refused call waits for the release of its claim. */
+constexpr duration ReleaseWait{milliseconds{500}};
+
+std::uint64_t randomSeed()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+claim_request toClaimRequest(const inbound_call &call, std::uint64_t attempt)
+{
+    const auto &request = call.request;
+    return {.workspace = call.context.workspace,
+            .idempotencyKey = std::string{request["Idempotency-Key"]},
+            .fingerprint = fingerprintRequest(toStd(request.method_string()), toStd(request.target()), request.body()),
+            .attempt = attempt,
+            .wallClock = wallClockNow()};
+}
+
+call_answer replay(const recorded_answer &recorded)
+{
+    call_answer answer;
+    answer.response = makeResponse(static_cast<http::status>(recorded.status), recorded.contentType, recorded.body);
+    answer.result = outcome::Ran;
+    return answer;
+}
+
+recorded_answer toRecord(const http_response &response)
+{
+    return {.status = response.result_int(),
+            .contentType = std::string{response[http::field::content_type]},
+            .body = response.body(),
+            .bodyKept = true};
+}
+
+} // namespace
+
+once_gateway::once_gateway(boost::asio::io_context &context, dispatcher &calls, claim_sender send)
+    : m_context{context}
+    , m_calls{calls}
+    , m_send{std::move(send)}
+    , m_random{randomSeed()}
+{ }
+
+boost::asio::awaitable<call_answer> once_gateway::run(inbound_call call)
+{
+    const auto allowance = call.context.retryAllowance;
+    const auto id = ++m_lastId;
+    m_waiting.emplace(id, std::make_shared<waiting_reply>(m_context));
+    if (!m_send(claim_ask{id, toClaimRequest(call, m_random())})) {
+        m_waiting.erase(id);
+        co_return refuseCall(refusal_kind::StoreUnavailable, outcome::NotRun, allowance, StorePause);
+    }
+    auto result = co_await waitForReply(id, call.deadline);
+    if (!result) {
+        co_return refuseCall(refusal_kind::StoreUnavailable, outcome::NotRun, allowance, StorePause);
+    }
+    if (result->verdict == claim_verdict::Replay) {
+        auto answer = replay(*result->answer);
+        answer.unusedAllowance = allowance;
+        co_return answer;
+    }
+    if (result->verdict == claim_verdict::Refuse) {
+        co_return refuseCall(result->refusal, result->known, allowance, result->retryAfter);
+    }
+    if (call.control->cancelled()) {
+        release(*result->handle);
+        co_return refuseCall(refusal_kind::Cancelled, outcome::NotRun, allowance);
+    }
+    co_return co_await runClaimed(std::move(call), *result->handle);
+}
+
+void once_gateway::receive(claim_reply reply)
+{
+    const auto found = m_waiting.find(reply.id);
+    if (found != m_waiting.end()) {
+        found->second->result = std::move(reply.result);
+        found->second->changed.notifyAll();
+        return;
+    }
+    if (reply.result.verdict == claim_verdict::Run && reply.result.handle) {
+        release(*reply.result.handle);
+    }
+}
+
+void once_gateway::wakeWaiting()
+{
+    for (auto &[id, waiting] : m_waiting) {
+        waiting->changed.notifyAll();
+    }
+}
+
+boost::asio::awaitable<std::optional<claim_result>> once_gateway::waitForReply(std::uint64_t id, time_point deadline)
+{
+    const auto waiting = m_waiting.at(id);
+    while (!waiting->result && monotonicNow() < deadline) {
+        co_await waiting->changed.wait();
+    }
+    m_waiting.erase(id);
+    co_return std::move(waiting->result);
+}
+
+boost::asio::awaitable<call_answer> once_gateway::runClaimed(inbound_call call, claim_handle handle)
+{
+    auto answer = co_await m_calls.dispatch(std::move(call));
+    const auto id = ++m_lastId;
+    claim_finish ending{.id = id, .handle = std::move(handle), .result = answer.result, .answer = {}};
+    if (answer.result == outcome::Ran) {
+        ending.answer = toRecord(answer.response);
+    }
+    if (answer.result != outcome::NotRun) {
+        (void)m_send(std::move(ending));
+        co_return answer;
+    }
+    m_waiting.emplace(id, std::make_shared<waiting_reply>(m_context));
+    const bool sent = m_send(std::move(ending));
+    const auto released = co_await waitForReply(id, sent ? monotonicNow() + ReleaseWait : time_point{});
+    (void)released;
+    co_return answer;
+}
+
+void once_gateway::release(const claim_handle &handle)
+{
+    (void)m_send(claim_finish{.id = ++m_lastId, .handle = handle, .result = outcome::NotRun, .answer = {}});
+}
+
+} // namespace ragwortpin
