--- a/src/ragwortpin/operators/command_line.cpp
+++ b/src/ragwortpin/operators/command_line.cpp
@@ -268,6 +268,7 @@
     std::vector<std::string> storage{"ragwortpinctl"};
     storage.insert(storage.end(), arguments.begin(), arguments.end());
     std::vector<char *> pointers;
+    pointers.reserve(storage.size() + 1);
     for (auto &argument : storage) {
         pointers.push_back(argument.data());
     }
--- a/src/ragwortpin/operators/commands.cpp
+++ b/src/ragwortpin/operators/commands.cpp
@@ -66,7 +66,7 @@
     }
 
     /** Reports an error, as JSON on the output or as a line on the errors. */
-    exit_code fail(exit_code code, const std::string &message) const
+    [[nodiscard]] exit_code fail(exit_code code, const std::string &message) const
     {
         if (m_line.json) {
             Json::Value value{Json::objectValue};
@@ -78,14 +78,14 @@
         return code;
     }
 
-    exit_code failReading(const std::error_code &error) const
+    [[nodiscard]] exit_code failReading(const std::error_code &error) const
     {
         const bool stored = error.category() == configCategory();
         return fail(stored ? exit_code::Rejected : exit_code::StoreUnreachable, error.message());
     }
 
     /** Reads and checks the files; nothing, with the exit code set, when they are not a valid set. */
-    std::optional<configuration> readFiles(exit_code &code) const
+    [[nodiscard]] std::optional<configuration> readFiles(exit_code &code) const
     {
         std::vector<configuration_text> texts;
         for (const auto &file : m_line.files) {
@@ -120,7 +120,7 @@
         m_environment.errors << problems.size() << (problems.size() == 1 ? " problem" : " problems") << "; nothing was changed\n";
     }
 
-    exit_code check() const
+    [[nodiscard]] exit_code check() const
     {
         auto code = exit_code::Ok;
         const auto value = readFiles(code);
@@ -142,7 +142,7 @@
         return code;
     }
 
-    exit_code diff() const
+    [[nodiscard]] exit_code diff() const
     {
         auto code = exit_code::Ok;
         const auto desired = readFiles(code);
@@ -171,7 +171,7 @@
         return code;
     }
 
-    exit_code publishFiles() const
+    [[nodiscard]] exit_code publishFiles() const
     {
         auto code = exit_code::Ok;
         auto desired = readFiles(code);
@@ -203,7 +203,7 @@
         return reading.value && diffConfigurations(*reading.value, desired).empty();
     }
 
-    exit_code publishSet(const store_call &call, std::uint64_t base, configuration desired) const
+    [[nodiscard]] exit_code publishSet(const store_call &call, std::uint64_t base, configuration desired) const
     {
         publication_request request;
         request.publicationId = m_environment.randomHex(PublicationIdBytes);
@@ -215,7 +215,7 @@
         return reportPublication(publish(call, request), base);
     }
 
-    exit_code reportPublication(const publication_result &result, std::uint64_t base) const
+    [[nodiscard]] exit_code reportPublication(const publication_result &result, std::uint64_t base) const
     {
         if (m_line.json) {
             m_environment.output << writeJson(toJson(result));
@@ -286,7 +286,7 @@
     }
 
     /** Loads the revision asked for, or the one in force. */
-    configuration_reading loadShown(const store_call &call) const
+    [[nodiscard]] configuration_reading loadShown(const store_call &call) const
     {
         if (m_line.revision) {
             return loadRevision(call, *m_line.revision);
@@ -301,7 +301,7 @@
         return loadRevision(call, head.head->revision);
     }
 
-    exit_code show() const
+    [[nodiscard]] exit_code show() const
     {
         const auto reading = loadShown(connect());
         if (reading.error) {
@@ -317,7 +317,7 @@
         return exit_code::Ok;
     }
 
-    exit_code history() const
+    [[nodiscard]] exit_code history() const
     {
         const auto reading = loadHistory(connect());
         if (reading.error) {
@@ -332,7 +332,7 @@
     }
 
     /** The published revision, when a store was named and answers. */
-    std::optional<std::uint64_t> publishedRevision() const
+    [[nodiscard]] std::optional<std::uint64_t> publishedRevision() const
     {
         if (m_line.store.empty()) {
             return std::nullopt;
@@ -345,7 +345,7 @@
         return head.head ? head.head->revision : 0;
     }
 
-    exit_code status() const
+    [[nodiscard]] exit_code status() const
     {
         const auto published = publishedRevision();
         const auto reports = m_environment.queryNodes(m_line.nodes, m_line.timeout);
@@ -377,7 +377,7 @@
         }
     }
 
-    exit_code makeKey() const
+    [[nodiscard]] exit_code makeKey() const
     {
         const auto secret = m_environment.randomHex(SecretBytes);
         configuration value;
@@ -402,7 +402,7 @@
         return exit_code::Ok;
     }
 
-    exit_code withdrawKey() const
+    [[nodiscard]] exit_code withdrawKey() const
     {
         const auto call = connect();
         auto reading = loadShown(call);
