--- a/src/bench/overload/scenario.h
+++ b/src/bench/overload/scenario.h
@@ -23,7 +23,8 @@
 };
 
 /** All policies, the baselines first. */
-inline constexpr control_policy AllPolicies[]{control_policy::None, control_policy::StaticLimit, control_policy::CodelLike, control_policy::Full};
+inline constexpr control_policy AllPolicies[]{
+    control_policy::None, control_policy::StaticLimit, control_policy::CodelLike, control_policy::Full};
 
 /** Returns the name used in tables. */
 [[nodiscard]] const char *toString(control_policy policy) noexcept;
@@ -75,6 +76,8 @@
     Leave,
     /** All instances of the first availability zone vanish. */
     ZoneGone,
+    /** All targets of the service break the connection before they read, for the part of requests that the factor says. */
+    Broken,
 };
 
 /** A fault in the half-open span [from, until). */
