--- a/src/standins/support/http_client.cpp
+++ b/src/standins/support/http_client.cpp
@@ -68,7 +68,8 @@
     if (fresh) {
         result.error = co_await connect(*stream, address);
     }
-    if (!result.error) {
+    result.connected = !result.error;
+    if (result.connected) {
         request.set(http::field::host, toText(address));
         request.prepare_payload();
         result.error = co_await exchangeMessages(stream, request, result.response);
@@ -92,7 +93,7 @@
 {
     auto &idle = m_idle[address];
     while (!idle.empty()) {
-        const auto stream = idle.back();
+        auto stream = idle.back();
         idle.pop_back();
         --m_idleCount;
         if (isUsable(stream->socket())) {
