--- /dev/null
+++ b/src/bench/fleet/fleet.cpp
@@ -0,0 +1,488 @@
+#include "bench/fleet/fleet.h"
+
+#include "ragwortpin/membership/message_codec.h"
+#include "ragwortpin/membership/table.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+namespace ragwortpin::bench {
+
+namespace {
+
+constexpr std::uint16_t GossipPort{7946};
+constexpr std::uint16_t PeersPort{8080};
+constexpr std::size_t Services{35};
+constexpr std::size_t SampledPeers{4};
+constexpr std::size_t SeedNodes{3};
+constexpr duration CheckInterval{milliseconds{20}};
+constexpr duration StoreDelay{milliseconds{5}};
+constexpr duration SegmentRetransmission{milliseconds{200}};
+constexpr seconds WallClockOrigin{1'800'000'000};
+constexpr double Base64Growth{4.0 / 3.0};
+/** TCP and HTTP headers, signatures and JSON of one pull, both ways. */
+constexpr std::uint64_t PullOverheadBytes{1'400};
+const datagram_secrets Secrets{"secret of the bench", ""};
+
+std::string makeText(std::size_t bytes)
+{
+    constexpr std::size_t LineBytes{80};
+    std::string text;
+    text.reserve(bytes + LineBytes);
+    for (std::size_t line{0}; text.size() < bytes; ++line) {
+        auto entry = "object-" + std::to_string(line);
+        entry.resize(LineBytes - 1, '.');
+        text += entry + '\n';
+    }
+    return text;
+}
+
+std::string addressOf(std::size_t index)
+{
+    constexpr std::size_t Octet{256};
+    return "10.1." + std::to_string(index / Octet) + '.' + std::to_string(index % Octet);
+}
+
+std::string nameOf(std::size_t index)
+{
+    constexpr std::size_t Digits{4};
+    const auto number = std::to_string(index);
+    return "node-" + std::string(Digits - std::min(Digits, number.size()), '0') + number;
+}
+
+/** Charges the time between construction and destruction to a node. */
+class processor_meter
+{
+public:
+    explicit processor_meter(fleet_node &node)
+        : m_node{node}
+        , m_start{std::chrono::steady_clock::now()}
+    { }
+    processor_meter(const processor_meter &) = delete;
+    processor_meter &operator=(const processor_meter &) = delete;
+    ~processor_meter()
+    {
+        m_node.processorTime += std::chrono::steady_clock::now() - m_start;
+    }
+
+private:
+    fleet_node &m_node;
+    std::chrono::steady_clock::time_point m_start;
+};
+
+} // namespace
+
+fleet::fleet(const fleet_options &options)
+    : m_options{options}
+    , m_random{options.seed}
+    , m_published{makeContent(1, makeText(options.contentBytes))}
+{
+    m_nodes.resize(options.nodes);
+    std::uniform_real_distribution<double> drift{-options.clockDrift, options.clockDrift};
+    for (std::size_t index{0}; index < options.nodes; ++index) {
+        auto &node = m_nodes[index];
+        node.index = index;
+        node.name = nameOf(index);
+        node.zoneIndex = index % options.zones;
+        node.zone = "zone-" + std::to_string(node.zoneIndex);
+        node.clockRate = 1.0 + drift(m_random);
+        m_indexByAddress.emplace(addressOf(index), index);
+    }
+    for (auto &node : m_nodes) {
+        startNode(node);
+    }
+    if (options.startsWarm) {
+        warmUp();
+    }
+}
+
+void fleet::startNode(fleet_node &node)
+{
+    ++node.generation;
+    node.isUp = true;
+    node.pausedUntil = now();
+    node.random.seed(m_random());
+    instance_record self;
+    self.name = node.name;
+    self.availabilityZone = node.zone;
+    self.service = "service-" + std::to_string(node.index % Services);
+    self.address = addressOf(node.index);
+    self.peersPort = PeersPort;
+    self.gossipPort = GossipPort;
+    self.state = instance_state::Ready;
+    self.slots = 35;
+    self.connections = 300;
+    self.incarnation = static_cast<std::uint64_t>(std::chrono::duration_cast<seconds>(wallClock()).count()) + node.generation;
+    std::vector<peer_address> seeds;
+    for (std::size_t seed{0}; seed < std::min(SeedNodes, m_nodes.size()); ++seed) {
+        seeds.push_back({addressOf(seed), GossipPort});
+    }
+    std::erase(seeds, peer_address{self.address, GossipPort});
+    node.membership = startMembership(localTime(node), m_options.membership, self, std::move(seeds), node.random);
+    node.spread = startSpread(localTime(node), m_options.spread, PeersPort, node.random);
+    node.observedRevision = 0;
+    std::uniform_int_distribution<duration::rep> phase{0, MembershipTickInterval.count()};
+    scheduleTick(node.index, now() + duration{phase(m_random)});
+}
+
+void fleet::warmUp()
+{
+    for (auto &node : m_nodes) {
+        const auto local = localTime(node);
+        for (const auto &other : m_nodes) {
+            if (other.index != node.index) {
+                internal::insertMember(node.membership, local, other.membership.members.front().record);
+            }
+        }
+        node.membership.isLoading = false;
+        node.membership.queue.clear();
+        node.membership.members.front().isQueued = false;
+        noteApplied(node.spread, local, m_published);
+        node.spread.announceRoundsLeft = 0;
+        setOwnRevision(node.membership, m_published.revision);
+        std::uniform_int_distribution<duration::rep> delay{0, m_options.spread.zonePollInterval.count()};
+        node.spread.nextPoll = local + static_cast<duration::rep>(m_nodes.size() / m_options.zones) * duration{delay(m_random)};
+    }
+}
+
+void fleet::runFor(duration span)
+{
+    m_events.runUntil(now() + span);
+}
+
+std::optional<duration> fleet::runUntil(const std::function<bool()> &condition, duration limit)
+{
+    const auto start = now();
+    while (!condition()) {
+        if (now() - start >= limit) {
+            return std::nullopt;
+        }
+        runFor(CheckInterval);
+    }
+    return now() - start;
+}
+
+void fleet::publish()
+{
+    const auto next = m_published.revision + 1;
+    auto text = m_published.text;
+    const auto change = "revision " + std::to_string(next) + ';';
+    text.replace(m_random() % (text.size() - change.size()), change.size(), change);
+    m_published = makeContent(next, std::move(text));
+}
+
+void fleet::kill(std::size_t index)
+{
+    m_nodes[index].isUp = false;
+    ++m_nodes[index].generation;
+}
+
+void fleet::restart(std::size_t index)
+{
+    startNode(m_nodes[index]);
+}
+
+void fleet::pause(std::size_t index, duration span)
+{
+    m_nodes[index].pausedUntil = now() + span;
+}
+
+void fleet::cut(const std::set<std::size_t> &zones)
+{
+    m_cutZones = zones;
+}
+
+void fleet::heal()
+{
+    m_cutZones.clear();
+}
+
+void fleet::setState(std::size_t index, instance_state state)
+{
+    step(index, m_nodes[index].generation, [this, state](fleet_node &node) {
+        auto record = node.membership.members.front().record;
+        record.state = state;
+        setOwnRecord(node.membership, localTime(node), record);
+    });
+}
+
+void fleet::forgeClaim(std::size_t index, std::uint64_t revision)
+{
+    auto &liar = m_nodes[index];
+    for (const auto &other : m_nodes) {
+        if (other.index != index) {
+            sendDatagram(liar, {addressOf(other.index), GossipPort}, datagram_kind::Spread, encode(spread_message{revision, PeersPort}));
+        }
+    }
+}
+
+void fleet::observe(std::function<void(const fleet_node &)> observer)
+{
+    m_observer = std::move(observer);
+}
+
+std::size_t fleet::countKnowing(std::size_t member, std::optional<instance_state> state) const
+{
+    const auto &name = m_nodes[member].name;
+    return static_cast<std::size_t>(std::count_if(m_nodes.begin(), m_nodes.end(), [&](const fleet_node &node) {
+        const auto found = node.membership.indexByName.find(name);
+        const auto isKnown = found != node.membership.indexByName.end() && internal::isLive(node.membership.members[found->second]);
+        const auto matches = state ? isKnown && node.membership.members[found->second].record.state == *state : !isKnown;
+        return node.isUp && node.index != member && matches;
+    }));
+}
+
+bool fleet::isConverged() const
+{
+    const auto live = liveNodes();
+    return std::all_of(m_nodes.begin(), m_nodes.end(), [this, live](const fleet_node &node) {
+        if (!node.isUp) {
+            return true;
+        }
+        return node.membership.liveMembers == live
+            && std::all_of(node.membership.members.begin(), node.membership.members.end(), [this](const member &value) {
+                   return !internal::isLive(value) || m_nodes[m_indexByAddress.at(value.record.address)].isUp;
+               });
+    });
+}
+
+std::size_t fleet::countInForce(std::uint64_t revision) const
+{
+    return static_cast<std::size_t>(std::count_if(m_nodes.begin(), m_nodes.end(), [revision](const fleet_node &node) {
+        return node.isUp && node.spread.inForce.revision >= revision;
+    }));
+}
+
+std::size_t fleet::liveNodes() const
+{
+    return static_cast<std::size_t>(std::count_if(m_nodes.begin(), m_nodes.end(), [](const fleet_node &node) {
+        return node.isUp;
+    }));
+}
+
+void fleet::scheduleTick(std::size_t index, time_point when)
+{
+    m_events.add(when, [this, index, generation = m_nodes[index].generation] {
+        tick(index, generation);
+    });
+}
+
+void fleet::tick(std::size_t index, unsigned generation)
+{
+    step(index, generation, [this](fleet_node &node) {
+        const auto local = localTime(node);
+        sendMembership(node, tickMembership(node.membership, local, node.random));
+        const auto peers = samplePeers(node.membership, SampledPeers, node.random);
+        const auto actions = tickSpread(node.spread, local, ownZoneSize(node.membership), peers, node.random);
+        sendSpread(node, actions.messages);
+        if (actions.pull) {
+            startPull(node, *actions.pull);
+        }
+        if (actions.poll) {
+            readHead(node);
+        }
+        scheduleTick(node.index, now() + MembershipTickInterval);
+    });
+}
+
+void fleet::sendMembership(fleet_node &node, const std::vector<membership_output> &outputs)
+{
+    for (const auto &output : outputs) {
+        sendDatagram(node, output.to, datagram_kind::Membership, encode(output.message));
+    }
+}
+
+void fleet::sendSpread(fleet_node &node, const std::vector<spread_output> &outputs)
+{
+    for (const auto &output : outputs) {
+        sendDatagram(node, output.to, datagram_kind::Spread, encode(output.message));
+    }
+}
+
+void fleet::sendDatagram(fleet_node &node, const peer_address &to, datagram_kind kind, std::string payload)
+{
+    const auto sealed = seal({kind, node.name, node.zone, wallClock(), std::move(payload)}, Secrets.current);
+    m_greatestDatagram = std::max(m_greatestDatagram, sealed.error ? MaxDatagramBytes + 1 : sealed.bytes.size());
+    node.bytes.sentBytes += sealed.bytes.size() + UdpHeaderBytes;
+    ++node.bytes.sentDatagrams;
+    const auto target = indexOf(to);
+    std::bernoulli_distribution isLost{m_options.loss};
+    if (target == m_nodes.size() || !mayExchange(node.index, target) || isLost(m_random)) {
+        return;
+    }
+    std::bernoulli_distribution isDuplicated{m_options.duplication};
+    const auto copies = isDuplicated(m_random) ? 2 : 1;
+    for (int copy{0}; copy < copies; ++copy) {
+        m_events.add(now() + drawDelay(node.index, target),
+                     [this, from = node.index, target, bytes = std::make_shared<const std::string>(sealed.bytes)] {
+                         deliver(from, target, bytes);
+                     });
+    }
+}
+
+void fleet::deliver(std::size_t from, std::size_t to, const std::shared_ptr<const std::string> &bytes)
+{
+    step(to, m_nodes[to].generation, [this, from, bytes](fleet_node &node) {
+        node.bytes.receivedBytes += bytes->size() + UdpHeaderBytes;
+        const auto opened = open(*bytes, Secrets, wallClock());
+        if (!opened.error) {
+            receive(node, from, opened.value);
+        }
+    });
+}
+
+void fleet::receive(fleet_node &node, std::size_t from, const datagram &received)
+{
+    if (received.kind == datagram_kind::Spread) {
+        if (const auto message = decodeSpreadMessage(received.payload)) {
+            noteRevision(node, received.sender, message->revision);
+        }
+        return;
+    }
+    const auto message = decodeMembershipMessage(received.payload);
+    if (!message) {
+        return;
+    }
+    const peer_address address{addressOf(from), GossipPort};
+    sendMembership(node, handleMembershipMessage(node.membership, localTime(node), received.sender, address, *message, node.random));
+    noteRevision(node, received.sender, message->revision);
+}
+
+void fleet::noteRevision(fleet_node &node, const std::string &peer, std::uint64_t revision)
+{
+    const auto *known = findPeer(node.membership, peer);
+    if (known == nullptr) {
+        return;
+    }
+    const auto local = localTime(node);
+    noteClaim(node.spread, local, {peer, {known->address, PeersPort}, revision, known->availabilityZone == node.zone, {}});
+    if (const auto request = tickPull(node.spread, local, node.random)) {
+        startPull(node, *request);
+    }
+}
+
+void fleet::startPull(fleet_node &node, const pull_request &request)
+{
+    const auto peer = indexOf(request.control);
+    const auto generation = node.generation;
+    const auto handshake = 2 * drawSegmentDelay(node.index, peer);
+    m_events.add(now() + handshake + drawSegmentDelay(node.index, peer), [this, index = node.index, generation, peer, request] {
+        finishPull(index, generation, peer, request);
+    });
+}
+
+void fleet::finishPull(std::size_t index, unsigned generation, std::size_t peer, const pull_request &request)
+{
+    const auto isReachable = m_nodes[peer].isUp && mayExchange(index, peer);
+    if (!isReachable) {
+        return;
+    }
+    step(peer, m_nodes[peer].generation, [this, index, generation, peer, request](fleet_node &answering) {
+        const auto patch = answerPull(answering.spread, request.baseRevision);
+        const auto reply = std::make_shared<pull_reply>(pull_reply{request.id, {}, patch.value_or(content_patch{})});
+        const auto bytes = static_cast<std::uint64_t>(Base64Growth * static_cast<double>(reply->patch.middle.size())) + PullOverheadBytes;
+        answering.bytes.pullBytes += bytes;
+        m_events.add(now() + drawSegmentDelay(peer, index), [this, index, generation, reply, bytes] {
+            step(index, generation, [this, reply, bytes](fleet_node &node) {
+                node.bytes.pullBytes += bytes;
+                accept(node, handlePullReply(node.spread, localTime(node), *reply));
+            });
+        });
+    });
+}
+
+void fleet::readHead(fleet_node &node)
+{
+    ++m_storeCalls;
+    m_events.add(now() + StoreDelay, [this, index = node.index, generation = node.generation] {
+        finishRead(index, generation);
+    });
+}
+
+void fleet::finishRead(std::size_t index, unsigned generation)
+{
+    step(index, generation, [this](fleet_node &node) {
+        head_reply reply;
+        if (m_isStoreDown || m_cutZones.contains(node.zoneIndex)) {
+            reply.error = std::make_error_code(std::errc::timed_out);
+        } else {
+            reply.revision = m_published.revision;
+            if (m_published.revision > node.spread.inForce.revision) {
+                ++m_storeCalls;
+                reply.content = m_published;
+            }
+        }
+        accept(node, handleHeadReply(node.spread, localTime(node), ownZoneSize(node.membership), reply, node.random));
+    });
+}
+
+void fleet::accept(fleet_node &node, std::optional<configuration_content> content)
+{
+    if (content) {
+        noteApplied(node.spread, localTime(node), std::move(*content));
+        setOwnRevision(node.membership, node.spread.inForce.revision);
+    }
+}
+
+void fleet::step(std::size_t index, unsigned generation, const std::function<void(fleet_node &)> &action)
+{
+    auto &node = m_nodes[index];
+    if (!node.isUp || node.generation != generation) {
+        return;
+    }
+    if (now() < node.pausedUntil) {
+        m_events.add(node.pausedUntil, [this, index, generation, action] {
+            step(index, generation, action);
+        });
+        return;
+    }
+    {
+        const processor_meter meter{node};
+        action(node);
+    }
+    if (m_observer) {
+        m_observer(node);
+        node.observedRevision = node.spread.inForce.revision;
+    }
+}
+
+duration fleet::drawDelay(std::size_t from, std::size_t to)
+{
+    std::uniform_int_distribution<duration::rep> delay{m_options.minDelay.count(), m_options.maxDelay.count()};
+    const auto crosses = m_nodes[from].zoneIndex % m_options.regions != m_nodes[to].zoneIndex % m_options.regions;
+    return duration{delay(m_random)} + (crosses ? m_options.regionDelay : duration::zero());
+}
+
+duration fleet::drawSegmentDelay(std::size_t from, std::size_t to)
+{
+    std::bernoulli_distribution isLost{m_options.loss};
+    auto delay = drawDelay(from, to);
+    while (isLost(m_random)) {
+        delay += SegmentRetransmission;
+    }
+    return delay;
+}
+
+bool fleet::mayExchange(std::size_t from, std::size_t to) const
+{
+    return m_cutZones.contains(m_nodes[from].zoneIndex) == m_cutZones.contains(m_nodes[to].zoneIndex);
+}
+
+time_point fleet::localTime(const fleet_node &node) const
+{
+    return time_point{fromSeconds(toSeconds(now().time_since_epoch()) * node.clockRate)};
+}
+
+microseconds fleet::wallClock() const
+{
+    return WallClockOrigin + now().time_since_epoch();
+}
+
+std::size_t fleet::indexOf(const peer_address &address) const
+{
+    const auto found = m_indexByAddress.find(address.address);
+    return found == m_indexByAddress.end() ? m_nodes.size() : found->second;
+}
+
+} // namespace ragwortpin::bench
