--- a/src/bench/fleet/fleet.cpp
+++ b/src/bench/fleet/fleet.cpp
@@ -132,11 +132,11 @@
         const auto local = localTime(node);
         for (const auto &other : m_nodes) {
             if (other.index != node.index) {
-                internal::insertMember(node.membership, local, other.membership.members.front().record);
+                internal::insertMember(node.membership, other.membership.members.front().record);
             }
         }
         node.membership.isLoading = false;
-        node.membership.queue.clear();
+        node.membership.urgentQueue.clear();
         node.membership.members.front().isQueued = false;
         noteApplied(node.spread, local, m_published);
         node.spread.announceRoundsLeft = 0;
@@ -203,7 +203,7 @@
     step(index, m_nodes[index].generation, [this, state](fleet_node &node) {
         auto record = node.membership.members.front().record;
         record.state = state;
-        setOwnRecord(node.membership, localTime(node), record);
+        setOwnRecord(node.membership, record);
     });
 }
 
--- a/src/ragwortpin/membership/exchange.cpp
+++ b/src/ragwortpin/membership/exchange.cpp
@@ -6,6 +6,7 @@
 #include "ragwortpin/peers/datagram.h"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace ragwortpin::internal {
@@ -14,20 +15,22 @@
 
 constexpr std::size_t DatagramOverheadBytes{128};
 
-/** How much longer than the exchange interval a node waits for its table to come to rest before it exchanges anyway. */
-constexpr int UnrestFactor{5};
+/** Changes by one reply from which on the table counts as far from complete. */
+constexpr std::uint64_t ManyChanges{4};
 
 bool isExchangeDue(const membership_state &state, time_point now)
 {
+    if (state.exchangeBytes <= 0.0) {
+        return false;
+    }
     const auto sinceExchange = now - state.lastExchange;
     if (state.isLoading) {
         return sinceExchange >= state.options.loadInterval;
     }
-    if (!state.differingPeer || sinceExchange < state.options.exchangeInterval || state.budgetBytes <= 0.0) {
+    if (!state.differingPeer) {
         return false;
     }
-    const auto isAtRest = now - state.lastChange >= state.options.exchangeInterval;
-    return isAtRest || sinceExchange >= UnrestFactor * state.options.exchangeInterval;
+    return std::min(now - state.differingSince, sinceExchange) >= state.options.exchangeInterval;
 }
 
 void charge(membership_state &state, const membership_message &message)
@@ -36,30 +39,49 @@
     for (const auto &update : message.updates) {
         bytes += encodedSizeBound(update);
     }
-    state.budgetBytes -= static_cast<double>(bytes);
+    state.exchangeBytes -= static_cast<double>(bytes);
 }
 
+/** Members of the parts that differ: one whole part after the other, the parts in random order. */
 std::vector<const member *> membersThatDiffer(const membership_state &state, const membership_message &request, std::mt19937_64 &random)
 {
-    std::array<bool, MembershipParts> differs{};
-    for (std::size_t part{0}; part < MembershipParts; ++part) {
-        differs[part] = state.partDigests[part] != request.partDigests[part];
-    }
-    std::vector<const member *> chosen;
+    std::vector<std::size_t> order(MembershipParts);
+    std::iota(order.begin(), order.end(), std::size_t{0});
+    std::shuffle(order.begin(), order.end(), random);
+    std::vector<std::pair<std::size_t, const member *>> chosen;
     for (const auto &candidate : state.members) {
-        if (differs[partOf(candidate.record.name)]) {
-            chosen.push_back(&candidate);
+        const auto part = partOf(candidate.record.name);
+        if (state.partDigests[part] != request.partDigests[part]) {
+            chosen.emplace_back(order[part], &candidate);
         }
     }
-    std::shuffle(chosen.begin(), chosen.end(), random);
-    return chosen;
+    std::sort(chosen.begin(), chosen.end());
+    std::vector<const member *> members;
+    members.reserve(chosen.size());
+    for (const auto &entry : chosen) {
+        members.push_back(entry.second);
+    }
+    return members;
+}
+
+/**
+ * Whether the members of a reply are sent in short form. A peer that knows about as many members as this node gets the short
+ * form every other time: it may still know other ones.
+ */
+bool usesShortForm(const membership_state &state, const membership_message &request)
+{
+    constexpr double NearlyAll{0.95};
+    const auto known = static_cast<double>(state.members.size());
+    return request.knownMembers >= NearlyAll * known && request.sequence % 2 == 0;
 }
 
 } // namespace
 
 void tickExchange(membership_state &state, time_point now, std::mt19937_64 &random, outputs &out)
 {
-    state.isLoading = state.isLoading && now - state.startedAt < state.options.loadTimeLimit;
+    if (now - state.loadingSince >= state.options.loadTimeLimit) {
+        state.isLoading = false;
+    }
     if (!isExchangeDue(state, now)) {
         return;
     }
@@ -76,6 +98,7 @@
     ++state.counters.exchanges;
     auto message = makeMessage(state, membership_message_kind::ExchangeRequest, ++state.lastSequence);
     message.wantedReplies = state.isLoading ? state.options.loadReplies : 1;
+    message.knownMembers = static_cast<std::uint32_t>(state.members.size());
     message.partDigests.assign(state.partDigests.begin(), state.partDigests.end());
     charge(state, message);
     out.push_back({*to, std::move(message)});
@@ -84,17 +107,18 @@
 void handleExchangeRequest(
     membership_state &state, std::mt19937_64 &random, const peer_address &from, const membership_message &message, outputs &out)
 {
-    if (message.partDigests.size() != MembershipParts || state.budgetBytes <= 0.0) {
+    if (message.partDigests.size() != MembershipParts || state.exchangeBytes <= 0.0) {
         return;
     }
     const auto chosen = membersThatDiffer(state, message, random);
     const auto replies = std::min(message.wantedReplies, state.options.loadReplies);
+    const auto isShort = usesShortForm(state, message);
     auto next = chosen.begin();
     for (std::uint8_t count{0}; count < replies; ++count) {
         auto reply = makeMessage(state, membership_message_kind::ExchangeReply, message.sequence);
         auto bytes = encodedFrameBound(reply);
         while (next != chosen.end()) {
-            auto update = updateOf(**next, !isLive(**next));
+            auto update = updateOf(**next, isShort || !isLive(**next));
             bytes += encodedSizeBound(update);
             if (bytes > MaxDatagramPayloadBytes) {
                 break;
@@ -104,19 +128,23 @@
         }
         charge(state, reply);
         out.push_back({from, std::move(reply)});
-        if (next == chosen.end() || state.budgetBytes <= 0.0) {
+        if (next == chosen.end() || state.exchangeBytes <= 0.0) {
             return;
         }
     }
 }
 
-void handleExchangeReply(membership_state &state, const peer_address &from, const membership_message &message)
+void handleExchangeReply(
+    membership_state &state, time_point now, const peer_address &from, const membership_message &message, std::uint64_t changes)
 {
-    if (message.tableDigest == tableDigest(state)) {
+    const auto isEqual = message.tableDigest == tableDigest(state);
+    if (isEqual || changes == 0) {
         state.isLoading = false;
-        return;
+    } else if (changes >= ManyChanges) {
+        state.isLoading = true;
+        state.loadingSince = now;
     }
-    state.differingPeer = from;
+    noteDigest(state, now, from, message.tableDigest);
 }
 
 } // namespace ragwortpin::internal
--- a/src/ragwortpin/membership/exchange.h
+++ b/src/ragwortpin/membership/exchange.h
@@ -11,12 +11,16 @@
 /** Asks a peer whose table differs for the parts that differ; any peer while the first table is loaded. */
 void tickExchange(membership_state &state, time_point now, std::mt19937_64 &random, outputs &out);
 
-/** Sends the members of the parts that differ, in random order, as far as size and byte budget allow. */
+/** Sends the members of the parts that differ, the parts in random order, as far as size and byte budget allow. */
 void handleExchangeRequest(
     membership_state &state, std::mt19937_64 &random, const peer_address &from, const membership_message &message, outputs &out);
 
-/** Notes whether the first table is complete; the updates of a reply are applied like any others. */
-void handleExchangeReply(membership_state &state, const peer_address &from, const membership_message &message);
+/**
+ * Sets the pace of further exchanges by what a reply brought, after its updates were applied like any others.
+ * @param changes members that the reply changed
+ */
+void handleExchangeReply(
+    membership_state &state, time_point now, const peer_address &from, const membership_message &message, std::uint64_t changes);
 
 } // namespace ragwortpin::internal
 
--- a/src/ragwortpin/membership/message.h
+++ b/src/ragwortpin/membership/message.h
@@ -69,6 +69,8 @@
     peer_address target;
     /** Number of reply datagrams that the sender takes; in an ExchangeRequest only. */
     std::uint8_t wantedReplies{0};
+    /** Members that the sender knows, dead ones included; in an ExchangeRequest only. */
+    std::uint32_t knownMembers{0};
     /** Digest of each part of the sender's table; in an ExchangeRequest only. */
     std::vector<std::uint32_t> partDigests;
     std::vector<member_update> updates;
--- a/src/ragwortpin/membership/message_codec.cpp
+++ b/src/ragwortpin/membership/message_codec.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::size_t MessageFields{8};
+constexpr std::size_t MessageFields{9};
 constexpr std::size_t ShortUpdateFields{5};
 constexpr std::size_t FullUpdateFields{12};
 constexpr std::size_t TargetFields{2};
@@ -148,8 +148,9 @@
     message.tableDigest = fields.ptr[3].as<std::uint32_t>();
     message.target = readTarget(fields.ptr[4]);
     message.wantedReplies = fields.ptr[5].as<std::uint8_t>();
-    message.partDigests = fields.ptr[6].as<std::vector<std::uint32_t>>();
-    const auto &updates = readArray(fields.ptr[7]);
+    message.knownMembers = fields.ptr[6].as<std::uint32_t>();
+    message.partDigests = fields.ptr[7].as<std::vector<std::uint32_t>>();
+    const auto &updates = readArray(fields.ptr[8]);
     message.updates.reserve(updates.size);
     for (std::size_t index{0}; index < updates.size; ++index) {
         message.updates.push_back(readUpdate(updates.ptr[index]));
@@ -176,6 +177,7 @@
         out.pack(message.target.port);
     }
     out.pack(message.wantedReplies);
+    out.pack(message.knownMembers);
     out.pack(message.partDigests);
     out.pack_array(static_cast<std::uint32_t>(message.updates.size()));
     for (const auto &update : message.updates) {
--- a/src/ragwortpin/membership/probe.cpp
+++ b/src/ragwortpin/membership/probe.cpp
@@ -20,34 +20,58 @@
     return ++state.lastSequence;
 }
 
-void ping(membership_state &state, outputs &out, const member &target, std::uint32_t sequence)
+void ping(membership_state &state, outputs &out, const member &target, std::uint32_t sequence, bool isVerification)
 {
     auto message = makeMessage(state, membership_message_kind::Ping, sequence);
-    if (target.status != member_status::Alive) {
-        message.updates.push_back(updateOf(target, true));
+    if (target.status != member_status::Alive || isVerification) {
+        auto doubt = updateOf(target, true);
+        doubt.status = member_status::Suspect;
+        message.updates.push_back(std::move(doubt));
     }
     send(state, out, gossipAddress(target), std::move(message));
 }
 
-void startProbe(membership_state &state, time_point now, std::mt19937_64 &random, outputs &out)
+/** Takes a random member that others believe dead and that lives here; null when there is none. */
+member *takeDoubted(membership_state &state, std::mt19937_64 &random)
+{
+    while (!state.doubted.empty()) {
+        std::uniform_int_distribution<std::size_t> distribution{0, state.doubted.size() - 1};
+        std::swap(state.doubted[distribution(random)], state.doubted.back());
+        auto *target = findMember(state, state.doubted.back());
+        state.doubted.pop_back();
+        if (target != nullptr && isLive(*target)) {
+            return target;
+        }
+    }
+    return nullptr;
+}
+
+member *chooseProbeTarget(membership_state &state, std::mt19937_64 &random)
 {
     std::bernoulli_distribution ownZone{state.options.ownZoneFraction};
     auto *target = ownZone(random) ? pickLiveInOwnZone(state, random) : nullptr;
-    if (target == nullptr) {
-        target = pickLive(state, random);
+    return target == nullptr ? pickLive(state, random) : target;
+}
+
+void startProbe(membership_state &state, time_point now, std::mt19937_64 &random, outputs &out)
+{
+    auto *target = takeDoubted(state, random);
+    const auto isVerification = target != nullptr;
+    if (!isVerification) {
+        target = chooseProbeTarget(state, random);
     }
     if (target == nullptr) {
         return;
     }
-    state.probe = membership_probe{target->record.name, nextSequence(state), now, 1, false};
+    state.probe = membership_probe{target->record.name, nextSequence(state), now, 1, false, isVerification};
     ++state.counters.probes;
-    ping(state, out, *target, state.probe->sequence);
+    ping(state, out, *target, state.probe->sequence, isVerification);
 }
 
 void probeIndirectly(membership_state &state, const member &target, std::mt19937_64 &random, outputs &out)
 {
     state.probe->isIndirect = true;
-    ping(state, out, target, state.probe->sequence);
+    ping(state, out, target, state.probe->sequence, state.probe->isVerification);
     for (std::size_t count{0}; count < state.options.indirectProbes; ++count) {
         const auto *relay = pickLive(state, random);
         if (relay == nullptr || relay == &target) {
@@ -71,7 +95,7 @@
     state.probe->startedAt = now;
     state.probe->isIndirect = false;
     ++state.probe->attempts;
-    ping(state, out, target, state.probe->sequence);
+    ping(state, out, target, state.probe->sequence, state.probe->isVerification);
 }
 
 bool isKnownAddress(const membership_state &state, const peer_address &address)
@@ -104,7 +128,7 @@
         return;
     }
     std::uniform_int_distribution<std::size_t> distribution{0, dead.size() - 1};
-    ping(state, out, *dead[distribution(random)], nextSequence(state));
+    ping(state, out, *dead[distribution(random)], nextSequence(state), false);
 }
 
 bool introducesItself(const std::string &sender, const membership_message &message)
@@ -128,13 +152,13 @@
 
 void send(membership_state &state, outputs &out, const peer_address &to, membership_message message)
 {
-    const auto budget = static_cast<std::size_t>(std::max(0.0, state.budgetBytes));
+    const auto budget = static_cast<std::size_t>(std::max(0.0, state.gossipBytes));
     const auto frame = encodedFrameBound(message);
     if (frame < MaxDatagramPayloadBytes) {
         const auto before = message.updates.size();
         addQueuedUpdates(state, message, std::min({MaxDatagramPayloadBytes - frame, MaxPiggybackBytes, budget}), 1);
         for (auto index = before; index < message.updates.size(); ++index) {
-            state.budgetBytes -= static_cast<double>(encodedSizeBound(message.updates[index]));
+            state.gossipBytes -= static_cast<double>(encodedSizeBound(message.updates[index]));
         }
     }
     out.push_back({to, std::move(message)});
@@ -188,14 +212,12 @@
     send(state, out, from, std::move(answer));
 }
 
-void handleAck(membership_state &state, const peer_address &from, const membership_message &message, outputs &out)
+void handleAck(membership_state &state, time_point now, const peer_address &from, const membership_message &message, outputs &out)
 {
     if (state.probe && state.probe->sequence == message.sequence) {
         state.probe.reset();
     }
-    if (message.tableDigest != tableDigest(state)) {
-        state.differingPeer = from;
-    }
+    noteDigest(state, now, from, message.tableDigest);
     const auto relay = std::find_if(state.relays.begin(), state.relays.end(), [&message](const membership_relay &candidate) {
         return candidate.sequence == message.sequence;
     });
@@ -207,6 +229,18 @@
     send(state, out, answered.requester, makeMessage(state, membership_message_kind::Ack, answered.requesterSequence));
 }
 
+void noteDigest(membership_state &state, time_point now, const peer_address &from, std::uint32_t digest)
+{
+    if (digest == tableDigest(state)) {
+        state.differingPeer.reset();
+        return;
+    }
+    if (!state.differingPeer) {
+        state.differingSince = now;
+    }
+    state.differingPeer = from;
+}
+
 void handlePingRequest(membership_state &state, time_point now, const peer_address &from, const membership_message &message, outputs &out)
 {
     if (state.relays.size() >= MaxRelays || message.target.address.empty()) {
--- a/src/ragwortpin/membership/probe.h
+++ b/src/ragwortpin/membership/probe.h
@@ -27,7 +27,10 @@
     membership_state &state, const std::string &sender, const peer_address &from, const membership_message &message, outputs &out);
 
 /** Ends the probe that is acknowledged, or passes the acknowledgement on to the node that asked for it. */
-void handleAck(membership_state &state, const peer_address &from, const membership_message &message, outputs &out);
+void handleAck(membership_state &state, time_point now, const peer_address &from, const membership_message &message, outputs &out);
+
+/** Notes whether a peer's table is the same, or since when tables differ. */
+void noteDigest(membership_state &state, time_point now, const peer_address &from, std::uint32_t digest);
 
 /** Pings the target for another node. */
 void handlePingRequest(membership_state &state, time_point now, const peer_address &from, const membership_message &message, outputs &out);
--- a/src/ragwortpin/membership/protocol.cpp
+++ b/src/ragwortpin/membership/protocol.cpp
@@ -41,7 +41,8 @@
 void refillBudget(membership_state &state, time_point now)
 {
     const auto refill = toSeconds(now - state.lastTick) * state.options.bytesPerSecond;
-    state.budgetBytes = std::min(state.options.burstBytes, state.budgetBytes + refill);
+    state.gossipBytes = std::min(state.options.gossipBurstBytes, state.gossipBytes + refill);
+    state.exchangeBytes = std::min(state.options.exchangeBurstBytes, state.exchangeBytes + refill);
 }
 
 /** Peers of one round of gossip; distinct where there are enough. */
@@ -59,7 +60,7 @@
 
 void tickGossip(membership_state &state, time_point now, std::mt19937_64 &random, outputs &out)
 {
-    if (now < state.nextGossip || state.queue.empty() || state.budgetBytes <= 0.0) {
+    if (now < state.nextGossip || (state.queue.empty() && state.urgentQueue.empty()) || state.gossipBytes <= 0.0) {
         return;
     }
     const auto peers = gossipPeers(state, random);
@@ -75,7 +76,7 @@
         bytes += encodedSizeBound(update);
     }
     for (const auto &peer : peers) {
-        state.budgetBytes -= static_cast<double>(bytes);
+        state.gossipBytes -= static_cast<double>(bytes);
         out.push_back({peer, message});
     }
 }
@@ -109,8 +110,9 @@
     membership_state state;
     state.options = options;
     state.seeds = std::move(seeds);
-    state.budgetBytes = options.burstBytes;
-    state.startedAt = now;
+    state.gossipBytes = options.gossipBurstBytes;
+    state.exchangeBytes = options.exchangeBurstBytes;
+    state.loadingSince = now;
     state.lastTick = now;
     state.lastExchange = now - options.exchangeInterval;
     state.lastSequence = static_cast<std::uint32_t>(random());
@@ -119,8 +121,8 @@
     state.nextGossip = now;
     state.nextReconnect = now;
     state.nextRemoval = now + RemovalInterval;
-    auto *added = internal::insertMember(state, now, self);
-    internal::enqueue(state, *added, true);
+    auto *added = internal::insertMember(state, self);
+    internal::enqueue(state, *added, true, internal::urgency::Urgent);
     return state;
 }
 
@@ -129,7 +131,7 @@
     state.seeds = std::move(seeds);
 }
 
-void setOwnRecord(membership_state &state, time_point now, instance_record record)
+void setOwnRecord(membership_state &state, instance_record record)
 {
     auto &self = state.members.front();
     record.name = self.record.name;
@@ -140,8 +142,8 @@
     const auto isNewDescription = descriptionHash(record) != self.descriptionHash;
     if (isNewDescription || record.state != self.record.state) {
         ++record.incarnation;
-        internal::replaceMember(state, now, self, record, member_status::Alive);
-        internal::enqueue(state, self, isNewDescription);
+        internal::replaceMember(state, self, record, member_status::Alive);
+        internal::enqueue(state, self, isNewDescription, internal::urgency::Urgent);
     }
     setOwnRevision(state, record.revision);
 }
@@ -180,16 +182,18 @@
     if (sender == state.members.front().record.name) {
         return out;
     }
+    const auto versionBefore = state.viewVersion;
     for (const auto &update : message.updates) {
         internal::applyUpdate(state, now, update);
     }
+    const auto changes = state.viewVersion - versionBefore;
     noteRevision(state, sender, message.revision);
     switch (message.kind) {
     case membership_message_kind::Ping:
         internal::handlePing(state, sender, from, message, out);
         break;
     case membership_message_kind::Ack:
-        internal::handleAck(state, from, message, out);
+        internal::handleAck(state, now, from, message, out);
         break;
     case membership_message_kind::PingRequest:
         internal::handlePingRequest(state, now, from, message, out);
@@ -198,7 +202,7 @@
         internal::handleExchangeRequest(state, random, from, message, out);
         break;
     case membership_message_kind::ExchangeReply:
-        internal::handleExchangeReply(state, from, message);
+        internal::handleExchangeReply(state, now, from, message, changes);
         break;
     case membership_message_kind::Gossip:
         break;
--- a/src/ragwortpin/membership/protocol.h
+++ b/src/ragwortpin/membership/protocol.h
@@ -31,7 +31,7 @@
  * Changes the own record. A change of anything but the revision raises the incarnation and is spread at once; name and
  * incarnation of the argument are ignored. Gone is final.
  */
-void setOwnRecord(membership_state &state, time_point now, instance_record record);
+void setOwnRecord(membership_state &state, instance_record record);
 
 /** Sets the revision in force at this node, which every message carries. */
 void setOwnRevision(membership_state &state, std::uint64_t revision);
--- a/src/ragwortpin/membership/state.h
+++ b/src/ragwortpin/membership/state.h
@@ -39,13 +39,13 @@
     std::size_t gossipFanout{2};
     /** Transmissions of an update by one node, as a multiple of the binary logarithm of the number of members. */
     double retransmitFactor{1.5};
-    /** Shortest time between two exchanges with peers whose table differs. */
+    /** Time for which tables have to differ before a node exchanges, and between two exchanges. */
     duration exchangeInterval{seconds{2}};
-    /** Time between exchanges while a node loads its first table. */
+    /** Time between exchanges while a node loads much of its table. */
     duration loadInterval{milliseconds{200}};
-    /** Reply datagrams asked for while a node loads its first table. */
+    /** Reply datagrams asked for while a node loads much of its table. */
     std::uint8_t loadReplies{4};
-    /** Time after which a node stops loading at the faster pace even if tables never agreed. */
+    /** Time after which a node stops loading when no reply brought much. */
     duration loadTimeLimit{seconds{20}};
     /** Time between attempts to reach a dead member or a seed again. */
     duration reconnectInterval{seconds{5}};
@@ -55,10 +55,16 @@
     duration goneRetention{std::chrono::minutes{10}};
     /** Gap between two ticks that counts as a pause of this process. */
     duration pauseThreshold{milliseconds{1500}};
-    /** Bytes a second that gossip and exchanges may use on average. */
-    double bytesPerSecond{700.0};
-    /** Bytes that they may use at once. */
-    double burstBytes{20'000.0};
+    /** Updates waiting from which on each is sent less often, because exchanges carry many at once at less cost. */
+    std::size_t crowdedQueue{64};
+    /** Transmissions of an update by one node while the queue is crowded; urgent ones are exempt. */
+    std::uint16_t crowdedTransmissions{3};
+    /** Bytes a second that gossip may use on average, and the same again for exchanges. */
+    double bytesPerSecond{500.0};
+    /** Bytes that gossip may use at once. */
+    double gossipBurstBytes{20'000.0};
+    /** Bytes that exchanges may use at once. */
+    double exchangeBurstBytes{40'000.0};
     /** Members kept at most. */
     std::size_t maxMembers{4'000};
 
@@ -88,6 +94,8 @@
     bool isQueued{false};
     /** Whether the queued update has to carry the whole record. */
     bool needsFullUpdate{false};
+    /** Whether the queued update is in the urgent queue. */
+    bool isUrgent{false};
     std::uint16_t transmissionsLeft{0};
     std::uint32_t descriptionHash{0};
     /** When a suspicion ends in death, or a dead record is forgotten. */
@@ -102,6 +110,8 @@
     time_point startedAt{};
     unsigned attempts{0};
     bool isIndirect{false};
+    /** Whether the ping tells the target that it is doubted, so that it refutes. */
+    bool isVerification{false};
 };
 
 /** A probe made for another node. */
@@ -122,21 +132,27 @@
     std::unordered_map<std::string, std::size_t> indexByName;
     /** Members by status; Gone ones count as dead. */
     std::size_t liveMembers{0};
-    /** Members whose update is still to be spread, the next first. */
+    /** Members whose update is still to be spread, the next first: announced states, suspicions and refutations. */
+    std::deque<std::string> urgentQueue;
+    /** The same for all other updates, which wait for the urgent ones. */
     std::deque<std::string> queue;
     std::vector<std::string> suspects;
+    /** Members that live here and that other nodes believe dead; they are probed first. */
+    std::vector<std::string> doubted;
     std::array<std::uint32_t, MembershipParts> partDigests{};
     std::optional<membership_probe> probe;
     std::vector<membership_relay> relays;
     std::uint32_t lastSequence{0};
-    /** Whether the first table is still being loaded from peers. */
+    /** Whether much of the table is missing and exchanges run at the faster pace. */
     bool isLoading{true};
     /** Peer whose table was last seen to differ. */
     std::optional<peer_address> differingPeer;
-    double budgetBytes{0.0};
-    time_point startedAt{};
+    /** Since when the tables of peers differ without a break. */
+    time_point differingSince{};
+    double gossipBytes{0.0};
+    double exchangeBytes{0.0};
+    time_point loadingSince{};
     time_point lastTick{};
-    time_point lastChange{};
     time_point lastExchange{};
     time_point nextProbe{};
     time_point nextGossip{};
--- a/src/ragwortpin/membership/table.cpp
+++ b/src/ragwortpin/membership/table.cpp
@@ -122,7 +122,7 @@
     return found == state.indexByName.end() ? nullptr : &state.members[found->second];
 }
 
-member *insertMember(membership_state &state, time_point now, const instance_record &record)
+member *insertMember(membership_state &state, const instance_record &record)
 {
     if (state.members.size() >= state.options.maxMembers) {
         ++state.counters.membersRefused;
@@ -133,19 +133,17 @@
     added.record = record;
     added.descriptionHash = descriptionHash(record);
     include(state, added);
-    state.lastChange = now;
     ++state.viewVersion;
     return &added;
 }
 
-void replaceMember(membership_state &state, time_point now, member &target, const instance_record &record, member_status status)
+void replaceMember(membership_state &state, member &target, const instance_record &record, member_status status)
 {
     exclude(state, target);
     target.record = record;
     target.status = status;
     target.descriptionHash = descriptionHash(record);
     include(state, target);
-    state.lastChange = now;
     ++state.viewVersion;
 }
 
--- a/src/ragwortpin/membership/table.h
+++ b/src/ragwortpin/membership/table.h
@@ -27,10 +27,10 @@
 [[nodiscard]] member *findMember(membership_state &state, const std::string &name);
 
 /** Adds a member, or returns null when the table is full. */
-member *insertMember(membership_state &state, time_point now, const instance_record &record);
+member *insertMember(membership_state &state, const instance_record &record);
 
 /** Replaces a member's record and status, and keeps digests, counts and the view's version in step. */
-void replaceMember(membership_state &state, time_point now, member &target, const instance_record &record, member_status status);
+void replaceMember(membership_state &state, member &target, const instance_record &record, member_status status);
 
 /** Forgets a member; never the node itself. */
 void eraseMember(membership_state &state, std::size_t index);
--- a/src/ragwortpin/membership/updates.cpp
+++ b/src/ragwortpin/membership/updates.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+constexpr std::size_t MaxDoubted{64};
+
 std::uint16_t transmissionLimit(const membership_state &state)
 {
     const auto members = static_cast<double>(state.liveMembers + 1);
@@ -22,7 +24,7 @@
 }
 
 /** Raises the own incarnation above a claim that contradicts the own record. */
-void refute(membership_state &state, time_point now, const member_update &update)
+void refute(membership_state &state, const member_update &update)
 {
     auto &self = state.members.front();
     const auto claimsLife = update.status == member_status::Alive;
@@ -34,14 +36,14 @@
     }
     auto record = self.record;
     record.incarnation = update.record.incarnation + 1;
-    replaceMember(state, now, self, record, member_status::Alive);
-    enqueue(state, self, false);
+    replaceMember(state, self, record, member_status::Alive);
+    enqueue(state, self, false, urgency::Urgent);
     ++state.counters.refutations;
 }
 
 void setSuspect(membership_state &state, time_point now, member &target, const instance_record &record)
 {
-    replaceMember(state, now, target, record, member_status::Suspect);
+    replaceMember(state, target, record, member_status::Suspect);
     target.deadline = now + state.options.suspicionTimeout;
     state.suspects.push_back(record.name);
     ++state.counters.suspicions;
@@ -52,14 +54,14 @@
     if (update.isShort || update.status == member_status::Dead || update.record.state == instance_state::Gone) {
         return;
     }
-    auto *added = insertMember(state, now, update.record);
+    auto *added = insertMember(state, update.record);
     if (added == nullptr) {
         return;
     }
     if (update.status == member_status::Suspect) {
         setSuspect(state, now, *added, update.record);
     }
-    enqueue(state, *added, true);
+    enqueue(state, *added, true, urgency::Usual);
 }
 
 /** Record that a claim about a known member yields, or nothing when its short form refers to a description unknown here. */
@@ -89,48 +91,93 @@
         return;
     }
     const auto isNewDescription = descriptionHash(*record) != target.descriptionHash;
-    replaceMember(state, now, target, *record, member_status::Alive);
+    const auto isUrgent = record->state != target.record.state || target.status != member_status::Alive;
+    replaceMember(state, target, *record, member_status::Alive);
     if (record->state == instance_state::Gone) {
         target.deadline = now + state.options.goneRetention;
     }
-    enqueue(state, target, isNewDescription);
+    enqueue(state, target, isNewDescription, isUrgent ? urgency::Urgent : urgency::Usual);
 }
 
-/** Applies a suspicion, or a death that another node believes in: nobody is declared dead without time to refute. */
-void applyDoubt(membership_state &state, time_point now, member &target, const member_update &update)
+void applySuspicion(membership_state &state, time_point now, member &target, const member_update &update)
 {
     const auto isNewer = update.record.incarnation > target.record.incarnation;
-    if (update.record.incarnation < target.record.incarnation || (!isNewer && target.status != member_status::Alive)) {
-        return;
-    }
-    if (!isLive(target) && (!isNewer || update.status == member_status::Dead)) {
+    if (update.record.incarnation < target.record.incarnation || (!isNewer && (target.status != member_status::Alive || !isLive(target)))) {
         return;
     }
-    const auto record = isNewer ? mergedRecord(target, update) : target.record;
+    const auto record = mergedRecord(target, update);
     if (!record) {
         return;
     }
     const auto isNewDescription = descriptionHash(*record) != target.descriptionHash;
     setSuspect(state, now, target, *record);
-    enqueue(state, target, isNewDescription);
+    enqueue(state, target, isNewDescription, urgency::Urgent);
+}
+
+/** Notes that others believe a member dead. Only this node's own probes decide whether it is. */
+void applyDeath(membership_state &state, const member &target, const member_update &update)
+{
+    const auto isDoubt = target.status == member_status::Alive && isLive(target);
+    if (!isDoubt || update.record.incarnation < target.record.incarnation || state.doubted.size() >= MaxDoubted) {
+        return;
+    }
+    if (std::find(state.doubted.begin(), state.doubted.end(), target.record.name) == state.doubted.end()) {
+        state.doubted.push_back(target.record.name);
+    }
+}
+
+std::deque<std::string> &queueOf(membership_state &state, const member &target)
+{
+    return target.isUrgent ? state.urgentQueue : state.queue;
+}
+
+/** Adds updates of one queue, each at most once. Returns false when the next one does not fit. */
+bool addFrom(membership_state &state,
+             std::deque<std::string> &queue,
+             membership_message &message,
+             std::size_t &bytes,
+             std::uint16_t copies,
+             std::uint16_t limit)
+{
+    for (auto remaining = queue.size(); remaining > 0; --remaining) {
+        const auto name = queue.front();
+        auto *target = findMember(state, name);
+        if (target == nullptr) {
+            queue.pop_front();
+            continue;
+        }
+        auto update = updateOf(*target, !target->needsFullUpdate);
+        const auto size = encodedSizeBound(update);
+        if (size > bytes) {
+            return false;
+        }
+        bytes -= size;
+        message.updates.push_back(std::move(update));
+        queue.pop_front();
+        target->transmissionsLeft = std::min(target->transmissionsLeft, limit);
+        target->transmissionsLeft -= std::min(copies, target->transmissionsLeft);
+        target->isQueued = target->transmissionsLeft > 0;
+        if (target->isQueued) {
+            queue.push_back(name);
+        }
+    }
+    return true;
 }
 
 } // namespace
 
-void enqueue(membership_state &state, member &target, bool needsFullUpdate)
+void enqueue(membership_state &state, member &target, bool needsFullUpdate, urgency value)
 {
     if (target.isQueued) {
-        const auto place = std::find(state.queue.begin(), state.queue.end(), target.record.name);
-        if (place != state.queue.end()) {
-            state.queue.erase(place);
-        }
+        std::erase(queueOf(state, target), target.record.name);
     } else {
         target.needsFullUpdate = false;
     }
     target.isQueued = true;
+    target.isUrgent = value == urgency::Urgent;
     target.needsFullUpdate = target.needsFullUpdate || needsFullUpdate;
     target.transmissionsLeft = transmissionLimit(state);
-    state.queue.push_front(target.record.name);
+    queueOf(state, target).push_front(target.record.name);
 }
 
 member_update updateOf(const member &value, bool isShort)
@@ -151,26 +198,9 @@
 
 void addQueuedUpdates(membership_state &state, membership_message &message, std::size_t bytes, std::uint16_t copies)
 {
-    for (auto remaining = state.queue.size(); remaining > 0; --remaining) {
-        const auto name = state.queue.front();
-        auto *target = findMember(state, name);
-        if (target == nullptr) {
-            state.queue.pop_front();
-            continue;
-        }
-        auto update = updateOf(*target, !target->needsFullUpdate);
-        const auto size = encodedSizeBound(update);
-        if (size > bytes) {
-            return;
-        }
-        bytes -= size;
-        message.updates.push_back(std::move(update));
-        state.queue.pop_front();
-        target->transmissionsLeft -= std::min(copies, target->transmissionsLeft);
-        target->isQueued = target->transmissionsLeft > 0;
-        if (target->isQueued) {
-            state.queue.push_back(name);
-        }
+    const auto limit = state.queue.size() > state.options.crowdedQueue ? state.options.crowdedTransmissions : transmissionLimit(state);
+    if (addFrom(state, state.urgentQueue, message, bytes, copies, transmissionLimit(state))) {
+        addFrom(state, state.queue, message, bytes, copies, limit);
     }
 }
 
@@ -182,13 +212,19 @@
         return;
     }
     if (isSelf(state, *target)) {
-        refute(state, now, update);
+        refute(state, update);
         return;
     }
-    if (update.status == member_status::Alive) {
+    switch (update.status) {
+    case member_status::Alive:
         applyAlive(state, now, *target, update);
-    } else {
-        applyDoubt(state, now, *target, update);
+        break;
+    case member_status::Suspect:
+        applySuspicion(state, now, *target, update);
+        break;
+    case member_status::Dead:
+        applyDeath(state, *target, update);
+        break;
     }
 }
 
@@ -199,7 +235,7 @@
     }
     const auto record = target.record;
     setSuspect(state, now, target, record);
-    enqueue(state, target, false);
+    enqueue(state, target, false, urgency::Urgent);
 }
 
 void expireSuspicions(membership_state &state, time_point now)
@@ -213,7 +249,7 @@
             return false;
         }
         const auto record = target->record;
-        replaceMember(state, now, *target, record, member_status::Dead);
+        replaceMember(state, *target, record, member_status::Dead);
         target->deadline = now + state.options.deadRetention;
         ++state.counters.deaths;
         return true;
--- a/src/ragwortpin/membership/updates.h
+++ b/src/ragwortpin/membership/updates.h
@@ -8,8 +8,14 @@
 
 namespace ragwortpin::internal {
 
-/** Queues a member's update for spreading, ahead of the older ones. */
-void enqueue(membership_state &state, member &target, bool needsFullUpdate);
+/** How soon an update is spread. */
+enum class urgency : unsigned char {
+    Usual,
+    Urgent,
+};
+
+/** Queues a member's update for spreading, ahead of the older ones of the same urgency. */
+void enqueue(membership_state &state, member &target, bool needsFullUpdate, urgency value);
 
 /** The update that tells others of a member as this node knows it. */
 [[nodiscard]] member_update updateOf(const member &value, bool isShort);
--- a/src/ragwortpin/peers/control_loop.cpp
+++ b/src/ragwortpin/peers/control_loop.cpp
@@ -222,7 +222,7 @@
     const auto now = monotonicNow();
     if (auto *change = std::get_if<record_command>(&value)) {
         change->record.revision = m_spread.inForce.revision;
-        ragwortpin::setOwnRecord(m_membership, now, std::move(change->record));
+        ragwortpin::setOwnRecord(m_membership, std::move(change->record));
     } else if (auto *seeds = std::get_if<seeds_command>(&value)) {
         ragwortpin::setSeeds(m_membership, std::move(seeds->seeds));
     } else if (const auto *head = std::get_if<head_command>(&value)) {
--- a/tests/membership/codec_test.cpp
+++ b/tests/membership/codec_test.cpp
@@ -48,6 +48,7 @@
     message.tableDigest = *rc::gen::arbitrary<std::uint32_t>();
     message.target = {genName(), *rc::gen::arbitrary<std::uint16_t>()};
     message.wantedReplies = *rc::gen::arbitrary<std::uint8_t>();
+    message.knownMembers = *rc::gen::arbitrary<std::uint32_t>();
     message.partDigests = *rc::gen::arbitrary<std::vector<std::uint32_t>>();
     for (auto count = *rc::gen::inRange(0, 6); count > 0; --count) {
         message.updates.push_back(genUpdate());
