--- a/src/bench/rights/scenarios.cpp
+++ b/src/bench/rights/scenarios.cpp
@@ -6,6 +6,10 @@
 {
     static const std::vector<rights_scenario> scenarios{
         {"skew", measureSkew},
+        {"faults", measureFaults},
+        {"lapse", measureLapse},
+        {"size", measureDesignSize},
+        {"cost", measureCost},
     };
     return scenarios;
 }
--- a/src/bench/rights/virtual_fleet.cpp
+++ b/src/bench/rights/virtual_fleet.cpp
@@ -232,6 +232,17 @@
 /** Tells every node, after the detection time, which nodes it can reach then. */
 void announceMembers(virtual_fleet &fleet)
 {
+    if (fleet.cutZones.empty() && fleet.cutNodes.empty()) {
+        const auto view = currentMembers(fleet, 0);
+        for (std::size_t index{0}; index < fleet.nodes.size(); ++index) {
+            schedule(fleet, fleet.now + upTo(fleet, fleet.options.detection), [&fleet, index, view] {
+                inProcess(fleet, index, fleet.nodes[index].lifetime, [view](rights_state &state, time_point now) {
+                    onMembers(state, view, now);
+                });
+            });
+        }
+        return;
+    }
     for (std::size_t index{0}; index < fleet.nodes.size(); ++index) {
         schedule(fleet, fleet.now + upTo(fleet, fleet.options.detection), [&fleet, index] {
             const auto lifetime = fleet.nodes[index].lifetime;
@@ -294,8 +305,9 @@
     const rights_identity self{node.name, node.zone, node.address, node.incarnation};
     node.rights = std::make_unique<rights_state>(makeRights(fleet.options.settings, self, localTime(fleet, node)));
     fleet.waiting[index].clear();
-    inProcess(fleet, index, node.lifetime, [&fleet, index](rights_state &state, time_point now) {
-        onMembers(state, currentMembers(fleet, index), now);
+    const auto view = fleet.startingView ? fleet.startingView : currentMembers(fleet, index);
+    inProcess(fleet, index, node.lifetime, [&fleet, view](rights_state &state, time_point now) {
+        onMembers(state, view, now);
         onConfiguration(state, fleet.config, now);
     });
     scheduleTick(fleet, index, node.lifetime);
@@ -452,10 +464,14 @@
         }
     }
     fleet.waiting.resize(fleet.nodes.size());
+    for (auto &node : fleet.nodes) {
+        node.alive = true;
+    }
+    fleet.startingView = currentMembers(fleet, 0);
     for (std::size_t index{0}; index < fleet.nodes.size(); ++index) {
         startProcess(fleet, index);
     }
-    announceMembers(fleet);
+    fleet.startingView.reset();
 }
 
 void offerRequest(virtual_fleet &fleet, std::size_t index, const std::string &workspace)
@@ -572,6 +588,11 @@
     }
 }
 
+void updateMembers(virtual_fleet &fleet)
+{
+    announceMembers(fleet);
+}
+
 double lowestLevel(const virtual_fleet &fleet)
 {
     double lowest{0.0};
--- a/src/bench/rights/virtual_fleet.h
+++ b/src/bench/rights/virtual_fleet.h
@@ -122,6 +122,8 @@
     std::map<std::string, std::size_t> indices;
     std::vector<std::deque<waiting_request>> waiting;
     virtual_store store;
+    /** View that processes of one start share. */
+    std::shared_ptr<const membership_view> startingView;
     std::set<std::string> cutZones;
     std::set<std::size_t> cutNodes;
     double loss{0.0};
@@ -171,6 +173,9 @@
 [[nodiscard]] configuration
 makeConfiguration(const std::vector<std::string> &zones, std::vector<workspace> workspaces, std::uint64_t revision);
 
+/** Lets every node learn, within the detection time, which nodes it can reach then; to be called after a cut or its end. */
+void updateMembers(virtual_fleet &fleet);
+
 /** Lowest level of any workspace's reference bucket so far; below zero the bound was broken. */
 [[nodiscard]] double lowestLevel(const virtual_fleet &fleet);
 
--- a/src/ragwortpin/rights/slots.cpp
+++ b/src/ragwortpin/rights/slots.cpp
@@ -178,7 +178,8 @@
 [[nodiscard]] bool anyFree(const rights_state &state, time_point now)
 {
     for (std::uint32_t index{0}; index < state.settings.slotsPerZone; ++index) {
-        if (takeable(state, observedOf(state.slots, {state.self.availabilityZone, index}), now)) {
+        const auto owned = state.slots.owned.contains(index);
+        if (!owned && takeable(state, observedOf(state.slots, {state.self.availabilityZone, index}), now)) {
             return true;
         }
     }
--- a/tests/rights/conservation_test.cpp
+++ b/tests/rights/conservation_test.cpp
@@ -148,15 +148,16 @@
         return leaveNode(fleet, node);
     case fault::CutZone:
         fleet.cutZones.insert(fleet.options.zones[next.target % fleet.options.zones.size()]);
-        return;
+        return updateMembers(fleet);
     case fault::CutNode:
         fleet.cutNodes.insert(node);
-        return;
+        return updateMembers(fleet);
     case fault::Heal:
         fleet.cutZones.clear();
         fleet.cutNodes.clear();
         fleet.loss = fleet.duplication = 0.0;
         fleet.jitter = duration::zero();
+        updateMembers(fleet);
         return startIfDead(fleet, node);
     case fault::Loss:
         fleet.loss = fraction;
