--- a/src/ragwortpin/admission/demand.cpp
+++ b/src/ragwortpin/admission/demand.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstddef>
+#include <limits>
 #include <span>
 #include <tuple>
 
@@ -24,12 +25,28 @@
 /** Rate, in seconds of service time a second, below which a demand is forgotten. */
 constexpr double ForgottenRate{1e-6};
 
-/** Part of the relative error of the arrivals that the correction takes up in a second. */
-constexpr double CorrectionGain{0.25};
+/** Time constant of the smoothing of what comes. */
+constexpr duration ComingMemory{milliseconds{250}};
+
+/** Weight of one request in the mean work. */
+constexpr double MeanWorkGain{0.05};
+
+/** Part of its relative error that the correction takes up in a second, and that when much capacity is free. */
+constexpr double CorrectionGain{1.0};
+constexpr double CatchUpGain{4.0};
+
+/** Part of the capacity that must be free to catch up. */
+constexpr double CatchUpFree{0.1};
+
+/** Largest relative error that counts. */
+constexpr double LargestError{2.0};
 
 /** Bounds of the correction. */
-constexpr double LeastCorrection{0.8};
-constexpr double MostCorrection{1.05};
+constexpr double LeastCorrection{0.5};
+constexpr double MostCorrection{16.0};
+
+/** Standard deviations by which a demand must exceed the capacity before a rank is shed. */
+constexpr double SheddingDeviations{2.0};
 
 [[nodiscard]] auto findDemand(std::vector<workspace_demand> &demands, std::string_view workspace, unsigned rank)
 {
@@ -38,15 +55,21 @@
     });
 }
 
+[[nodiscard]] double gainOver(double elapsedSeconds, duration memory) noexcept
+{
+    return 1.0 - std::exp(-elapsedSeconds / toSeconds(memory));
+}
+
 void smoothRates(demand_estimate &state, double elapsedSeconds)
 {
-    const double gain{1.0 - std::exp(-elapsedSeconds / toSeconds(DemandMemory))};
+    const double demandGain{gainOver(elapsedSeconds, DemandMemory)};
+    const double comingGain{gainOver(elapsedSeconds, ComingMemory)};
     for (auto &demand : state.demands) {
-        demand.rate += gain * (demand.arriving / elapsedSeconds - demand.rate);
+        demand.rate += demandGain * (demand.arriving / elapsedSeconds - demand.rate);
+        demand.comingRate += comingGain * (demand.coming / elapsedSeconds - demand.comingRate);
         demand.arriving = 0.0;
+        demand.coming = 0.0;
     }
-    state.arrivalRate += gain * (state.arriving / elapsedSeconds - state.arrivalRate);
-    state.arriving = 0.0;
     std::erase_if(state.demands, [](const auto &demand) {
         return demand.rate < ForgottenRate;
     });
@@ -81,45 +104,90 @@
     return 0.0;
 }
 
+[[nodiscard]] double rateOf(std::span<const workspace_demand> demands) noexcept
+{
+    double rate{0.0};
+    for (const auto &demand : demands) {
+        rate += demand.rate;
+    }
+    return rate;
+}
+
 void shareRank(std::span<workspace_demand> demands, double capacity)
 {
-    const double fair{fairRate(demands, capacity)};
+    const double fair{rateOf(demands) <= capacity ? std::numeric_limits<double>::max() : fairRate(demands, capacity)};
     for (auto &demand : demands) {
         demand.probability = std::min(1.0, fair * demand.weight / demand.rate);
     }
 }
 
-[[nodiscard]] bool isShedding(const demand_estimate &state) noexcept
+/** Returns the demand of a rank that is not distinguished from the capacity, for the noise of the estimate. */
+[[nodiscard]] double toleratedRate(const demand_estimate &state, double capacity) noexcept
 {
-    return std::any_of(state.demands.begin(), state.demands.end(), [](const auto &demand) {
-        return demand.probability < 1.0;
-    });
+    if (capacity <= 0.0) {
+        return 0.0;
+    }
+    const double deviation{std::sqrt(state.meanWork / (2.0 * toSeconds(DemandMemory) * capacity))};
+    return capacity * (1.0 + SheddingDeviations * deviation);
 }
 
-void correctCapacity(demand_estimate &state, double capacity, double elapsedSeconds) noexcept
+/** Moves the correction so that the marginal rank takes up what the capacity leaves free. */
+void correctMarginal(demand_estimate &state, double capacity, double elapsedSeconds) noexcept
 {
-    const double error{isShedding(state) ? (capacity - state.arrivalRate) / capacity : 1.0 - state.correction};
-    const double corrected{state.correction + CorrectionGain * std::min(1.0, elapsedSeconds) * error};
-    state.correction = std::clamp(corrected, LeastCorrection, MostCorrection);
+    double all{0.0};
+    double marginal{0.0};
+    for (const auto &demand : state.demands) {
+        all += demand.comingRate;
+        marginal += demand.rank == state.marginalRank ? demand.comingRate : 0.0;
+    }
+    const double freePart{(capacity - all) / capacity};
+    const double error{std::clamp((capacity - all) / std::max(marginal, ForgottenRate), -1.0, LargestError)};
+    const double gain{freePart > CatchUpFree ? CatchUpGain : CorrectionGain};
+    const double factor{1.0 + gain * std::min(0.1, elapsedSeconds) * error};
+    state.correction = std::clamp(state.correction * factor, LeastCorrection, MostCorrection);
 }
 
-void shareCapacity(std::vector<workspace_demand> &demands, double capacity, double correction)
+void enterRank(demand_estimate &state, unsigned rank) noexcept
+{
+    if (state.marginalRank != rank) {
+        state.marginalRank = rank;
+        state.correction = 1.0;
+    }
+}
+
+/** Returns the end of the demands of the rank that begins at the given position. */
+[[nodiscard]] std::size_t endOfRank(const std::vector<workspace_demand> &demands, std::size_t first) noexcept
+{
+    std::size_t last{first};
+    while (last < demands.size() && demands[last].rank == demands[first].rank) {
+        ++last;
+    }
+    return last;
+}
+
+/** Takes the more important ranks whole, one rank in part and nothing of the others. */
+void shareCapacity(demand_estimate &state, double capacity)
 {
     double remaining{capacity};
-    for (std::size_t first{0}; first < demands.size();) {
-        std::size_t last{first};
-        double rate{0.0};
-        while (last < demands.size() && demands[last].rank == demands[first].rank) {
-            demands[last].probability = 1.0;
-            rate += demands[last].rate;
-            ++last;
-        }
-        if (rate > remaining) {
-            shareRank(std::span{demands}.subspan(first, last - first), remaining * correction);
+    unsigned marginal{NoShedRank};
+    for (std::size_t first{0}; first < state.demands.size();) {
+        const std::size_t last{endOfRank(state.demands, first)};
+        const std::span<workspace_demand> demands{std::span{state.demands}.subspan(first, last - first)};
+        const double rate{rateOf(demands)};
+        const bool fits{marginal == NoShedRank && rate <= toleratedRate(state, remaining)};
+        if (fits) {
+            shareRank(demands, rate);
+        } else if (marginal == NoShedRank) {
+            marginal = demands.front().rank;
+            enterRank(state, marginal);
+            shareRank(demands, remaining * state.correction);
+        } else {
+            shareRank(demands, 0.0);
         }
         remaining = std::max(0.0, remaining - rate);
         first = last;
     }
+    enterRank(state, marginal);
 }
 
 } // namespace
@@ -131,12 +199,13 @@
 {
     auto position = internal::findDemand(state.demands, workspace, rank);
     if (position == state.demands.end() || position->rank != rank || position->workspace != workspace) {
-        position = state.demands.insert(position, workspace_demand{std::string{workspace}, rank, weight, 0.0, 0.0, 1.0});
+        position = state.demands.insert(position, workspace_demand{std::string{workspace}, rank, weight, 0.0, 0.0, 0.0, 0.0, 1.0});
     }
     const double thinned{std::max({admitProbability, position->probability, internal::LeastProbability})};
     position->weight = weight;
     position->arriving += workSeconds / thinned;
-    state.arriving += workSeconds;
+    position->coming += workSeconds;
+    state.meanWork += internal::MeanWorkGain * (workSeconds - state.meanWork);
 }
 
 void updateDemand(demand_estimate &state, double capacity, time_point now)
@@ -147,10 +216,10 @@
     }
     state.intervalStart = now;
     internal::smoothRates(state, toSeconds(elapsed));
-    if (capacity > 0.0) {
-        internal::correctCapacity(state, capacity, toSeconds(elapsed));
+    if (capacity > 0.0 && state.marginalRank != NoShedRank) {
+        internal::correctMarginal(state, capacity, toSeconds(elapsed));
     }
-    internal::shareCapacity(state.demands, capacity, state.correction);
+    internal::shareCapacity(state, capacity);
 }
 
 shed_level levelOf(const demand_estimate &state, std::string_view workspace) noexcept
--- a/src/ragwortpin/admission/demand.h
+++ b/src/ragwortpin/admission/demand.h
@@ -19,6 +19,9 @@
     double weight{1.0};
     /** Work asked in the running interval, in seconds of service time. */
     double arriving{0.0};
+    /** Work that came in the running interval, and its smoothed rate, in seconds of service time (a second). */
+    double coming{0.0};
+    double comingRate{0.0};
     /** Smoothed work asked a second, in seconds of service time, before any first hop thinned it out. */
     double rate{0.0};
     /** Share of the demand that the target would take. */
@@ -33,10 +36,11 @@
     /** Sorted by rank, then workspace. */
     std::vector<workspace_demand> demands;
     time_point intervalStart{};
-    /** Work that arrived in the running interval, and its smoothed rate, in seconds of service time (a second), as it came. */
-    double arriving{0.0};
-    double arrivalRate{0.0};
-    /** Factor on the capacity that keeps what arrives at the capacity although first hops act on old levels. */
+    /** Smoothed work of one request in seconds of service time. */
+    double meanWork{0.0};
+    /** Rank of which a part is taken; NoShedRank when all is taken. */
+    unsigned marginalRank{NoShedRank};
+    /** Factor on the part of the marginal rank that keeps what arrives at the capacity, although clients retry and levels are old. */
     double correction{1.0};
 
     bool operator==(const demand_estimate &) const = default;
