--- a/src/bench/rights/virtual_fleet.h
+++ b/src/bench/rights/virtual_fleet.h
@@ -29,8 +29,10 @@
     duration delayInZone{microseconds{200}};
     duration delayBetweenZones{microseconds{1500}};
     duration storeDelay{milliseconds{3}};
-    /** Largest relative clock error; each process draws its own. */
+    /** Relative clock error, by which each process runs fast or slow. */
     double drift{0.0};
+    /** Fraction of processes whose clock runs fast. */
+    double fastClocks{0.5};
     /** Time until the live nodes learn that a process started or ended. */
     duration detection{seconds{2}};
     std::vector<workspace> workspaces;
@@ -67,6 +69,7 @@
     time_point clockStart;
     std::uint64_t incarnation{0};
     std::uint64_t lifetime{0};
+    time_point startedAt;
     std::unique_ptr<rights_state> rights;
     std::vector<std::function<void()>> whilePaused;
     std::uint64_t messagesSent{0};
@@ -119,6 +122,8 @@
     std::map<std::string, std::size_t> indices;
     std::vector<std::deque<waiting_request>> waiting;
     virtual_store store;
+    /** View that processes of one start share. */
+    std::shared_ptr<const membership_view> startingView;
     std::set<std::string> cutZones;
     std::set<std::size_t> cutNodes;
     double loss{0.0};
@@ -168,6 +173,9 @@
 [[nodiscard]] configuration
 makeConfiguration(const std::vector<std::string> &zones, std::vector<workspace> workspaces, std::uint64_t revision);
 
+/** Lets every node learn, within the detection time, which nodes it can reach then; to be called after a cut or its end. */
+void updateMembers(virtual_fleet &fleet);
+
 /** Lowest level of any workspace's reference bucket so far; below zero the bound was broken. */
 [[nodiscard]] double lowestLevel(const virtual_fleet &fleet);
 
