--- a/src/ragwortpin/rights/batches.cpp
+++ b/src/ragwortpin/rights/batches.cpp
@@ -137,8 +137,10 @@
 {
     const auto coming = static_cast<std::uint32_t>(rights.demand * toSeconds(state.settings.batchHorizon));
     const auto held = tokensHeld(rights);
-    const auto wanted = rights.waiting + (coming > held ? coming - held : 0);
-    return {std::min(wanted, MaxBatchTokens), std::min(rights.waiting, MaxBatchTokens)};
+    const auto total = rights.waiting + coming;
+    const auto wanted = total > held ? total - held : 0;
+    const auto urgent = rights.waiting > held ? rights.waiting - held : 0;
+    return {std::min(wanted, MaxBatchTokens), std::min(urgent, MaxBatchTokens)};
 }
 
 /** Gives up on an unanswered request; after several, leaves the pool alone for a while. */
@@ -207,7 +209,6 @@
         account.reported = grant.kept + grant.tokens;
         account.expiresAt = expiresAt;
         account.usedAt = now;
-        rights.waiting -= std::min(rights.waiting, grant.tokens);
     }
     if (grant.retryAfter == duration::zero()) {
         account.dryStreak = 0;
@@ -280,7 +281,7 @@
         const auto current = std::find(rights.pools.begin(), rights.pools.end(), account.pool) != rights.pools.end();
         return !current && account.tokens == 0 && !account.waiting;
     });
-    if (!answerDueAt(state, rights)) {
+    if (now > rights.waitedAt + state.settings.maximumWait) {
         rights.waiting = 0;
     }
     const auto low = tokensHeld(rights) < rights.demand * toSeconds(state.settings.batchHorizon) / 2.0;
--- a/src/ragwortpin/rights/rights.cpp
+++ b/src/ragwortpin/rights/rights.cpp
@@ -165,6 +165,11 @@
     return std::clamp(earliest, ShortestRetry, LongestRetry);
 }
 
+void endWait(workspace_rights &rights, bool waited)
+{
+    rights.waiting -= std::min(rights.waiting, waited ? 1U : 0U);
+}
+
 [[nodiscard]] token_decision refuse(rights_state &state, duration retryAfter)
 {
     ++state.counters.refused;
@@ -218,22 +223,27 @@
         return refuse(state, UnknownWorkspaceRetry);
     }
     auto &rights = found->second;
+    const auto first = now <= arrivedAt;
     if (takeFromBucket(rights.bucket, now) || takeFromBatches(state, found->first, rights, now)) {
+        endWait(rights, !first);
         return admit(state, rights);
     }
-    if (now <= arrivedAt) {
+    if (first) {
         ++rights.waiting;
         ++state.counters.waited;
     }
     rights.waiting = std::max(rights.waiting, 1U);
+    rights.waitedAt = now;
     askPools(state, found->first, rights, now);
-    const auto giveUpAt = arrivedAt + state.settings.maximumWait;
+    const auto retry = refusalRetry(rights, now);
     const auto answerAt = answerDueAt(state, rights);
-    if (answerAt && *answerAt > now && now < giveUpAt) {
-        return {token_verdict::Wait, std::min(*answerAt, giveUpAt) - now};
+    const auto giveUpAt = arrivedAt + state.settings.maximumWait;
+    const auto askAgainAt = answerAt && *answerAt > now ? std::min(*answerAt, giveUpAt) : now + retry;
+    if (now < giveUpAt && askAgainAt <= giveUpAt) {
+        return {token_verdict::Wait, askAgainAt - now};
     }
-    rights.waiting -= std::min(rights.waiting, 1U);
-    return refuse(state, refusalRetry(rights, now));
+    endWait(rights, true);
+    return refuse(state, retry);
 }
 
 void onMessage(rights_state &state, const rights_message &message, time_point now)
--- a/src/ragwortpin/rights/rights.h
+++ b/src/ragwortpin/rights/rights.h
@@ -121,8 +121,10 @@
     /** Requests a second for which tokens were wanted, smoothed. */
     double demand{0.0};
     std::uint32_t takenSinceTick{0};
-    /** Requests that found no token since the last request for a batch. */
+    /** Requests that were told to wait and have not come back for good. */
     std::uint32_t waiting{0};
+    /** When one of them last asked. */
+    time_point waitedAt;
     /** Latest loan number seen from each borrower, with its incarnation. */
     std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> lastLoanNumbers;
     /** Loans asked for and not yet answered, by number. */
