--- a/src/bench/overload/experiments.cpp
+++ b/src/bench/overload/experiments.cpp
@@ -6,6 +6,7 @@
 
 constexpr experiment Experiments[]{
     {"goodput", runGoodput},
+    {"goodput-full", runControlledGoodput},
     {"metastable", runMetastable},
     {"faults", runFaults},
     {"fairness", runFairness},
--- a/src/bench/overload/experiments.h
+++ b/src/bench/overload/experiments.h
@@ -28,6 +28,9 @@
 /** Goodput, requests of rank 0 and wasted work at 1, 2, 5 and 10 times the capacity, under every policy. */
 [[nodiscard]] report runGoodput(const experiment_input &input);
 
+/** The same under the product's decisions alone, for a quick look. */
+[[nodiscard]] report runControlledGoodput(const experiment_input &input);
+
 /** Recovery after the deepest service was slow for ten seconds, with clients that retry hard. */
 [[nodiscard]] report runMetastable(const experiment_input &input);
 
--- a/src/ragwortpin/admission/admission.cpp
+++ b/src/ragwortpin/admission/admission.cpp
@@ -50,7 +50,7 @@
         return static_cast<double>(request.expectedWork.count());
     }
     const work_account &account{accountOf(state, request.rank, request.workspace)};
-    return account.averageWork > 0.0 ? account.averageWork : averageWorkOf(state);
+    return account.relativeWork * averageWorkOf(state);
 }
 
 [[nodiscard]] time_point latestStart(const admission_state &state, const admission_request &request) noexcept
@@ -226,7 +226,7 @@
 void recordCompletion(admission_state &state, const running_request &request, const completion &finished, time_point now)
 {
     const double slotTime{static_cast<double>((now - request.startedAt).count())};
-    correctCharge(state, request, slotTime);
+    correctCharge(state, request, slotTime, averageWorkOf(state));
     state.averageWork = state.averageWork <= 0.0 ? slotTime : state.averageWork + AverageGain * (slotTime - state.averageWork);
     if (finished.timedOut) {
         return;
@@ -269,7 +269,7 @@
     observeDemand(state.demand, request.workspace, request.rank, request.weight, work / 1e6, request.admitProbability);
     updateDemand(state.demand, internal::promisedCapacity(state, now), now);
     internal::noteDepth(state, request.depth, now);
-    if (state.limit.bound == 0) {
+    if (state.limit.bound == 0 && state.queue.empty()) {
         return internal::refuse(state, refusal_kind::Overloaded);
     }
     if (internal::isTooLate(state, request, now)) {
@@ -300,7 +300,7 @@
 {
     const auto found = state.running.find(id);
     if (found != state.running.end()) {
-        internal::correctCharge(state, found->second, static_cast<double>((now - found->second.startedAt).count()));
+        internal::correctCharge(state, found->second, static_cast<double>((now - found->second.startedAt).count()), internal::averageWorkOf(state));
         state.running.erase(found);
         state.counters.cancelled += 1;
         return internal::advance(state, now);
--- a/src/ragwortpin/admission/admission.h
+++ b/src/ragwortpin/admission/admission.h
@@ -141,8 +141,8 @@
     /** Work of its queued requests, in microseconds. */
     double queuedWork{0.0};
     std::uint32_t queued{0};
-    /** Smoothed time of its requests in the slot, in microseconds; 0 before the first completion. */
-    double averageWork{0.0};
+    /** Smoothed time of its requests in the slot, over the target's average. */
+    double relativeWork{1.0};
 
     bool operator==(const work_account &) const = default;
 };
--- a/src/ragwortpin/admission/demand.cpp
+++ b/src/ragwortpin/admission/demand.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cmath>
 #include <cstddef>
-#include <limits>
 #include <span>
 #include <tuple>
 
@@ -113,11 +112,25 @@
     return rate;
 }
 
-void shareRank(std::span<workspace_demand> demands, double capacity)
+void takeWhole(std::span<workspace_demand> demands) noexcept
 {
-    const double fair{rateOf(demands) <= capacity ? std::numeric_limits<double>::max() : fairRate(demands, capacity)};
     for (auto &demand : demands) {
-        demand.probability = std::min(1.0, fair * demand.weight / demand.rate);
+        demand.probability = 1.0;
+    }
+}
+
+/** Shares the capacity out by weight. A correction below 1 is borne by the workspaces over their share alone. */
+void shareRank(std::span<workspace_demand> demands, double capacity, double correction)
+{
+    const double raised{capacity * std::max(1.0, correction)};
+    if (rateOf(demands) <= raised) {
+        takeWhole(demands);
+        return;
+    }
+    const double fair{fairRate(demands, raised)};
+    for (auto &demand : demands) {
+        const double share{fair * demand.weight};
+        demand.probability = demand.rate <= share ? 1.0 : std::min(1.0, correction) * share / demand.rate;
     }
 }
 
@@ -150,8 +163,9 @@
 void enterRank(demand_estimate &state, unsigned rank) noexcept
 {
     if (state.marginalRank != rank) {
+        const bool lessImportant{rank > state.marginalRank && rank != NoShedRank};
+        state.correction = lessImportant ? std::max(1.0, state.correction) : 1.0;
         state.marginalRank = rank;
-        state.correction = 1.0;
     }
 }
 
@@ -176,13 +190,13 @@
         const double rate{rateOf(demands)};
         const bool fits{marginal == NoShedRank && rate <= toleratedRate(state, remaining)};
         if (fits) {
-            shareRank(demands, rate);
+            takeWhole(demands);
         } else if (marginal == NoShedRank) {
             marginal = demands.front().rank;
             enterRank(state, marginal);
-            shareRank(demands, remaining * state.correction);
+            shareRank(demands, remaining, state.correction);
         } else {
-            shareRank(demands, 0.0);
+            shareRank(demands, 0.0, 1.0);
         }
         remaining = std::max(0.0, remaining - rate);
         first = last;
--- a/src/ragwortpin/admission/fair_queue.cpp
+++ b/src/ragwortpin/admission/fair_queue.cpp
@@ -10,8 +10,8 @@
 /** Accounts that are kept before idle ones are forgotten. */
 constexpr std::size_t AccountsKept{256};
 
-/** Weight of one completion in the average work of an account. */
-constexpr double AverageGain{0.1};
+/** Weight of one completion in the relative work of an account. */
+constexpr double RelativeGain{0.05};
 
 [[nodiscard]] rank_clock &clockOf(admission_state &state, unsigned rank)
 {
@@ -89,7 +89,7 @@
         return *found;
     }
     const double virtualTime{clockOf(state, rank).virtualTime};
-    return state.accounts.emplace_back(work_account{rank, std::string{workspace}, virtualTime, 0.0, 0, 0.0});
+    return state.accounts.emplace_back(work_account{rank, std::string{workspace}, virtualTime, 0.0, 0, 1.0});
 }
 
 void pushQueued(admission_state &state, const admission_request &request, double work, time_point now)
@@ -123,11 +123,11 @@
     account.virtualTime += work / weight;
 }
 
-void correctCharge(admission_state &state, const running_request &request, double work)
+void correctCharge(admission_state &state, const running_request &request, double work, double averageWork)
 {
     work_account &account{accountOf(state, request.rank, request.workspace)};
     account.virtualTime += (work - request.charged) / request.weight;
-    account.averageWork = account.averageWork <= 0.0 ? work : account.averageWork + AverageGain * (work - account.averageWork);
+    account.relativeWork += RelativeGain * (work / averageWork - account.relativeWork);
 }
 
 std::optional<std::size_t> nextInTurn(const admission_state &state, bool newestFirst, unsigned leastDepth) noexcept
--- a/src/ragwortpin/admission/fair_queue.h
+++ b/src/ragwortpin/admission/fair_queue.h
@@ -20,8 +20,8 @@
 /** Charges the account of a request that starts, and advances the clock of its rank. */
 void chargeStarted(admission_state &state, unsigned rank, std::string_view workspace, double weight, double work);
 
-/** Corrects the charge of a request whose work is known now. */
-void correctCharge(admission_state &state, const running_request &request, double work);
+/** Corrects the charge of a request whose work is known now, and learns from it how the account's work compares to the average. */
+void correctCharge(admission_state &state, const running_request &request, double work, double averageWork);
 
 /**
  * Finds the queued request that is next in turn: most important rank, workspace with the least work had for its weight,
--- a/src/ragwortpin/admission/first_hop.h
+++ b/src/ragwortpin/admission/first_hop.h
@@ -41,9 +41,9 @@
 struct first_hop_options
 {
     /** Weight of a new answer against what was heard before. */
-    double smoothing{0.25};
+    double smoothing{0.3};
     /** Time over which what was heard before loses its weight. */
-    duration memory{milliseconds{300}};
+    duration memory{milliseconds{150}};
     /** Age up to which a level is taken as it was heard. */
     duration hold{milliseconds{2000}};
     /** Time over which an older level relaxes to shedding nothing. */
--- /dev/null
+++ b/tests/retries/retries_test.cpp
@@ -0,0 +1,177 @@
+#include "ragwortpin/retries/retries.h"
+
+#include <catch2/catch.hpp>
+#include <functional>
+#include <memory>
+#include <random>
+#include <rapidcheck/catch.h>
+#include <string>
+
+using namespace ragwortpin;
+
+namespace {
+
+/** A failed attempt and the verdict expected of it. */
+struct verdict_case
+{
+    const char *name;
+    failed_attempt attempt;
+    retry_verdict verdict;
+};
+
+failed_attempt failedWith(outcome result, std::optional<refusal_kind> refusal, bool retryable, bool once)
+{
+    failed_attempt attempt;
+    attempt.result = result;
+    attempt.refusal = refusal;
+    attempt.retryable = retryable;
+    attempt.once = once;
+    attempt.remaining = milliseconds{100};
+    attempt.expected = milliseconds{10};
+    return attempt;
+}
+
+failed_attempt with(failed_attempt attempt, const std::function<void(failed_attempt &)> &change)
+{
+    change(attempt);
+    return attempt;
+}
+
+const std::vector<verdict_case> &verdictCases()
+{
+    const failed_attempt overloaded{failedWith(outcome::NotRun, refusal_kind::Overloaded, false, false)};
+    const auto behind = [](failed_attempt &attempt) {
+        attempt.failedAtCallee = false;
+    };
+    const auto again = [](failed_attempt &attempt) {
+        attempt.earlierOverloads = 1;
+    };
+    const auto late = [](failed_attempt &attempt) {
+        attempt.remaining = milliseconds{10};
+    };
+    static const std::vector<verdict_case> cases{
+        {"connection refused", failedWith(outcome::NotRun, {}, false, true), retry_verdict::Retry},
+        {"draining", failedWith(outcome::NotRun, refusal_kind::Draining, false, true), retry_verdict::Retry},
+        {"lost answer of a retryable route", failedWith(outcome::Unknown, refusal_kind::AnswerLost, true, false), retry_verdict::Retry},
+        {"lost answer of another route",
+         failedWith(outcome::Unknown, refusal_kind::AnswerLost, false, false),
+         retry_verdict::OutcomeForbids},
+        {"lost answer of a once route", failedWith(outcome::Unknown, {}, true, true), retry_verdict::OutcomeForbids},
+        {"ran", failedWith(outcome::Ran, {}, true, false), retry_verdict::OutcomeForbids},
+        {"rate", failedWith(outcome::NotRun, refusal_kind::RateExceeded, true, false), retry_verdict::RefusalIsFinal},
+        {"deadline", failedWith(outcome::NotRun, refusal_kind::DeadlineExceeded, true, false), retry_verdict::RefusalIsFinal},
+        {"failed behind the callee", with(overloaded, behind), retry_verdict::NotNextToFailure},
+        {"first overload", overloaded, retry_verdict::Retry},
+        {"second overload", with(overloaded, again), retry_verdict::OverloadedTwice},
+        {"no time left", with(overloaded, late), retry_verdict::DeadlineTooNear},
+    };
+    return cases;
+}
+
+/** Random call tree that uses the escrow as a node does; counts the retries made in it. */
+class call_tree
+{
+public:
+    explicit call_tree(std::uint64_t seed)
+        : m_random{seed}
+    { }
+
+    /** Runs a call with an allowance and returns what its answer gives back, or nothing when the answer is lost. */
+    std::optional<unsigned> call(unsigned allowance, unsigned depth)
+    {
+        retry_escrow escrow{makeEscrow(allowance)};
+        const unsigned children{depth == 0 ? 0 : draw(3)};
+        for (unsigned child{0}; child < children; ++child) {
+            callChild(escrow, depth);
+            RC_ASSERT(escrow.available + escrow.granted + escrow.spent == allowance);
+        }
+        return draw(4) == 0 ? std::nullopt : std::optional{unusedAllowance(escrow)};
+    }
+
+    [[nodiscard]] unsigned retries() const noexcept
+    {
+        return m_retries;
+    }
+
+private:
+    [[nodiscard]] unsigned draw(unsigned bound)
+    {
+        return static_cast<unsigned>(m_random() % bound);
+    }
+
+    void callChild(retry_escrow &escrow, unsigned depth)
+    {
+        retry_budget budget{makeBudget(0.1)};
+        for (;;) {
+            const unsigned grant{draw(2) == 0 ? grantToCallee(escrow) : grantToCallee(escrow, draw(3))};
+            const auto unused = call(grant, depth - 1);
+            if (unused) {
+                settleGrant(escrow, grant, *unused);
+            } else {
+                loseGrant(escrow, grant);
+            }
+            const failed_attempt attempt{failedWith(unused ? outcome::NotRun : outcome::Unknown, {}, true, false)};
+            if (draw(2) == 0 || mayRetry(attempt, escrow, budget) != retry_verdict::Retry) {
+                return;
+            }
+            ++m_retries;
+        }
+    }
+
+    std::mt19937_64 m_random;
+    unsigned m_retries{0};
+};
+
+} // namespace
+
+TEST_CASE("rules of a retry")
+{
+    for (const auto &wanted : verdictCases()) {
+        CAPTURE(wanted.name);
+        retry_escrow escrow{makeEscrow(1)};
+        retry_budget budget{makeBudget(0.1)};
+        CHECK(mayRetry(wanted.attempt, escrow, budget) == wanted.verdict);
+        CHECK(escrow.spent == (wanted.verdict == retry_verdict::Retry ? 1U : 0U));
+        CHECK(budget.tokens == (wanted.verdict == retry_verdict::Retry ? 9.0 : 10.0));
+    }
+}
+
+TEST_CASE("allowance and budget end retries")
+{
+    const failed_attempt attempt{failedWith(outcome::NotRun, {}, false, false)};
+    retry_escrow escrow{makeEscrow(1)};
+    retry_budget budget{makeBudget(0.1)};
+    CHECK(mayRetry(attempt, escrow, budget) == retry_verdict::Retry);
+    CHECK(mayRetry(attempt, escrow, budget) == retry_verdict::AllowanceSpent);
+    escrow = makeEscrow(100);
+    for (int retry{0}; retry < 9; ++retry) {
+        CHECK(mayRetry(attempt, escrow, budget) == retry_verdict::Retry);
+    }
+    CHECK(mayRetry(attempt, escrow, budget) == retry_verdict::BudgetSpent);
+    CHECK(escrow.available == 91);
+    for (int first{0}; first < 11; ++first) {
+        observeFirstAttempt(budget);
+    }
+    CHECK(mayRetry(attempt, escrow, budget) == retry_verdict::Retry);
+}
+
+TEST_CASE("retries in a whole call tree never exceed the mint")
+{
+    rc::prop("random trees with lost answers and retries at every hop", [](std::uint64_t seed) {
+        const auto mint = *rc::gen::inRange(0U, 8U);
+        call_tree tree{seed};
+        static_cast<void>(tree.call(mint, *rc::gen::inRange(1U, 7U)));
+        RC_ASSERT(tree.retries() <= mint);
+    });
+}
+
+TEST_CASE("a callee cannot give back more than it was granted")
+{
+    rc::prop("any claim", [](unsigned claim) {
+        retry_escrow escrow{makeEscrow(3)};
+        const unsigned grant{grantToCallee(escrow, 2)};
+        settleGrant(escrow, grant, claim);
+        RC_ASSERT(escrow.available <= 3U);
+        RC_ASSERT(escrow.available + escrow.granted + escrow.spent == 3U);
+    });
+}
