Retry an unreachable instance elsewhere, and keep a retry for lost answers

Two reasons: mayRetry() took the refusal of an unreachable instance as one that every instance would give; and a hop granted its whole retry allowance to the callee, so a lost answer of a retryable route took the allowance with it and none was ever left to retry with.

Ruled out: a larger mint (the bound at the deepest hop would grow with it), and taking the grant back when an answer is lost (the callee's tree may have spent it, so the sum could exceed the mint).

Change: an unreachable instance is retried elsewhere; on retryable routes a hop keeps one retry when it holds two or more. Both have test rows.

--- a/src/ragwortpin/dispatch/dispatcher.cpp
+++ b/src/ragwortpin/dispatch/dispatcher.cpp
@@ -113,7 +113,7 @@
             co_return refuseCall(refusal_kind::NoInstance, outcome::NotRun, unusedAllowance(escrow), NoInstancePause);
         }
         tried.push_back(instance->name);
-        const auto grant = grantToCallee(escrow);
+        const auto grant = grantToCallee(escrow, grantFor(escrow, call.definition.retryable));
         const auto started = monotonicNow();
         beginAttempt(service->routing, instance->index, started);
         m_attempts.add();
--- a/src/ragwortpin/retries/allowance.h
+++ b/src/ragwortpin/retries/allowance.h
@@ -34,6 +34,15 @@
 /** Grants a callee at most so many, for calls that go out in parallel. */
 [[nodiscard]] unsigned grantToCallee(retry_escrow &escrow, unsigned most) noexcept;
 
+/**
+ * Returns what a hop grants to a callee. On a route whose lost answers may be retried the hop keeps one retry, since a lost
+ * answer takes its whole grant with it; on others it grants all, so that the hop next to the failure can use it.
+ */
+[[nodiscard]] constexpr unsigned grantFor(const retry_escrow &escrow, bool retryable) noexcept
+{
+    return retryable && escrow.available > 1 ? escrow.available - 1 : escrow.available;
+}
+
 /** Takes back what a callee's answer says was left of its grant; more than was granted counts as the grant. */
 void settleGrant(retry_escrow &escrow, unsigned grant, unsigned unused) noexcept;
 
--- a/src/ragwortpin/retries/retries.cpp
+++ b/src/ragwortpin/retries/retries.cpp
@@ -15,6 +15,7 @@
     case refusal_kind::Overloaded:
     case refusal_kind::Draining:
     case refusal_kind::NotReady:
+    case refusal_kind::NoInstance:
     case refusal_kind::AnswerLost:
         return true;
     default:
--- a/tests/retries/retries_test.cpp
+++ b/tests/retries/retries_test.cpp
@@ -58,6 +58,7 @@
          retry_verdict::OutcomeForbids},
         {"lost answer of a once route", failedWith(outcome::Unknown, {}, true, true), retry_verdict::OutcomeForbids},
         {"ran", failedWith(outcome::Ran, {}, true, false), retry_verdict::OutcomeForbids},
+        {"unreachable instance", failedWith(outcome::NotRun, refusal_kind::NoInstance, false, true), retry_verdict::Retry},
         {"rate", failedWith(outcome::NotRun, refusal_kind::RateExceeded, true, false), retry_verdict::RefusalIsFinal},
         {"deadline", failedWith(outcome::NotRun, refusal_kind::DeadlineExceeded, true, false), retry_verdict::RefusalIsFinal},
         {"failed behind the callee", with(overloaded, behind), retry_verdict::NotNextToFailure},
@@ -165,6 +166,18 @@
     });
 }
 
+TEST_CASE("a hop keeps one retry for a lost answer of a retryable route")
+{
+    CHECK(grantFor(makeEscrow(3), true) == 2);
+    CHECK(grantFor(makeEscrow(1), true) == 1);
+    CHECK(grantFor(makeEscrow(3), false) == 3);
+    CHECK(grantFor(makeEscrow(0), true) == 0);
+    auto escrow = makeEscrow(2);
+    loseGrant(escrow, grantToCallee(escrow, grantFor(escrow, true)));
+    CHECK(spendRetry(escrow));
+    CHECK_FALSE(spendRetry(escrow));
+}
+
 TEST_CASE("a callee cannot give back more than it was granted")
 {
     rc::prop("any claim", [](unsigned claim) {
