--- a/src/ragwortpin/config/fwd.h
+++ b/src/ragwortpin/config/fwd.h
@@ -23,6 +23,14 @@
 struct indexed_route;
 struct indexed_key;
 struct route_match;
+struct config_head;
+struct publication_entry;
+struct publication_request;
+struct publication_result;
+struct head_reading;
+struct configuration_reading;
+struct change_reading;
+enum class config_errc;
 
 } // namespace ragwortpin
 
