--- /dev/null
+++ b/src/bench/fleet/faults.cpp
@@ -0,0 +1,77 @@
+#include "bench/fleet/faults.h"
+
+#include <ostream>
+
+namespace ragwortpin::bench {
+
+namespace {
+
+constexpr milliseconds Tenth{100};
+constexpr std::uint64_t ForgedRevision{1'000'000};
+
+} // namespace
+
+void apply(fleet &nodes, const fleet_options &options, const fault &value)
+{
+    const auto span = value.tenths * Tenth;
+    const auto index = value.subject % options.nodes;
+    const auto zone = value.subject % options.zones;
+    nodes.runFor(span);
+    switch (value.kind) {
+    case fault_kind::Wait:
+        break;
+    case fault_kind::Kill:
+        nodes.kill(index);
+        break;
+    case fault_kind::Restart:
+        nodes.restart(index);
+        break;
+    case fault_kind::Pause:
+        nodes.pause(index, span);
+        break;
+    case fault_kind::Cut:
+        nodes.cut({zone});
+        break;
+    case fault_kind::Heal:
+        nodes.heal();
+        break;
+    case fault_kind::StoreDown:
+        nodes.setStoreDown(true);
+        break;
+    case fault_kind::StoreUp:
+        nodes.setStoreDown(false);
+        break;
+    case fault_kind::Publish:
+        nodes.publish();
+        break;
+    case fault_kind::Drain:
+        nodes.setState(index, instance_state::Draining);
+        break;
+    case fault_kind::Ready:
+        nodes.setState(index, instance_state::Ready);
+        break;
+    case fault_kind::ForgeClaim:
+        nodes.forgeClaim(index, ForgedRevision);
+        break;
+    }
+}
+
+void repair(fleet &nodes)
+{
+    nodes.heal();
+    nodes.setStoreDown(false);
+    nodes.setLoss(0.0);
+    for (const auto &node : nodes.nodes()) {
+        if (!node.isUp) {
+            nodes.restart(node.index);
+        }
+    }
+}
+
+std::ostream &operator<<(std::ostream &out, const fault &value)
+{
+    return out << "{kind " << static_cast<unsigned>(value.kind) << ", subject " << static_cast<unsigned>(value.subject) << ", tenths "
+               << static_cast<unsigned>(value.tenths) << '}';
+}
+
+} // namespace ragwortpin::bench
--- a/src/ragwortpin/membership/probe.cpp
+++ b/src/ragwortpin/membership/probe.cpp
@@ -231,14 +231,14 @@
 
 void noteDigest(membership_state &state, time_point now, const peer_address &from, std::uint32_t digest)
 {
-    if (digest == tableDigest(state)) {
+    if (digest != tableDigest(state)) {
+        if (!state.differingPeer) {
+            state.differingSince = now;
+        }
+        state.differingPeer = from;
+    } else if (state.differingPeer == from) {
         state.differingPeer.reset();
-        return;
-    }
-    if (!state.differingPeer) {
-        state.differingSince = now;
     }
-    state.differingPeer = from;
 }
 
 void handlePingRequest(membership_state &state, time_point now, const peer_address &from, const membership_message &message, outputs &out)
--- a/src/ragwortpin/membership/protocol.cpp
+++ b/src/ragwortpin/membership/protocol.cpp
@@ -190,6 +190,7 @@
     noteRevision(state, sender, message.revision);
     switch (message.kind) {
     case membership_message_kind::Ping:
+        internal::noteDigest(state, now, from, message.tableDigest);
         internal::handlePing(state, sender, from, message, out);
         break;
     case membership_message_kind::Ack:
@@ -199,6 +200,7 @@
         internal::handlePingRequest(state, now, from, message, out);
         break;
     case membership_message_kind::ExchangeRequest:
+        internal::noteDigest(state, now, from, message.tableDigest);
         internal::handleExchangeRequest(state, random, from, message, out);
         break;
     case membership_message_kind::ExchangeReply:
--- a/src/ragwortpin/membership/state.h
+++ b/src/ragwortpin/membership/state.h
@@ -37,9 +37,9 @@
     duration gossipInterval{milliseconds{200}};
     /** Peers that a round of gossip goes to. */
     std::size_t gossipFanout{2};
-    /** Transmissions of an update by one node, as a multiple of the binary logarithm of the number of members. */
-    double retransmitFactor{1.5};
-    /** Time for which tables have to differ before a node exchanges, and between two exchanges. */
+    /** Transmissions of an update by one node, on top of the binary logarithm of the number of members. */
+    std::uint16_t extraTransmissions{10};
+    /** Time from a difference to the exchange, which leaves gossip time to remove it, and between two exchanges. */
     duration exchangeInterval{seconds{2}};
     /** Time between exchanges while a node loads much of its table. */
     duration loadInterval{milliseconds{200}};
@@ -145,9 +145,9 @@
     std::uint32_t lastSequence{0};
     /** Whether much of the table is missing and exchanges run at the faster pace. */
     bool isLoading{true};
-    /** Peer whose table was last seen to differ. */
+    /** Peer whose table was last seen to differ; an equal table of another peer does not clear it. */
     std::optional<peer_address> differingPeer;
-    /** Since when the tables of peers differ without a break. */
+    /** When the first difference since the last exchange was seen. */
     time_point differingSince{};
     double gossipBytes{0.0};
     double exchangeBytes{0.0};
--- a/src/ragwortpin/membership/updates.cpp
+++ b/src/ragwortpin/membership/updates.cpp
@@ -15,7 +15,7 @@
 std::uint16_t transmissionLimit(const membership_state &state)
 {
     const auto members = static_cast<double>(state.liveMembers + 1);
-    return static_cast<std::uint16_t>(std::ceil(state.options.retransmitFactor * std::log2(members)) + 1);
+    return static_cast<std::uint16_t>(std::ceil(std::log2(members)) + state.options.extraTransmissions);
 }
 
 bool isSelf(const membership_state &state, const member &target)
--- /dev/null
+++ b/tests/membership/protocol_test.cpp
@@ -0,0 +1,172 @@
+#include "ragwortpin/membership/protocol.h"
+
+#include "bench/fleet/faults.h"
+#include "membership/fleet_generators.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+using namespace ragwortpin;
+using namespace ragwortpin::bench;
+
+namespace {
+
+constexpr std::size_t Nodes{6};
+constexpr std::size_t Zones{3};
+constexpr int MaxFaults{10};
+constexpr seconds ConvergenceLimit{90};
+
+const std::vector<fault_kind> MembershipFaults{fault_kind::Wait,
+                                               fault_kind::Kill,
+                                               fault_kind::Restart,
+                                               fault_kind::Pause,
+                                               fault_kind::Cut,
+                                               fault_kind::Heal,
+                                               fault_kind::Drain,
+                                               fault_kind::Ready};
+
+/** What one node saw last of another one's record. */
+struct sighting
+{
+    unsigned generation{0};
+    std::uint64_t incarnation{0};
+    instance_state state{instance_state::Starting};
+};
+
+/** Watches that no node sees a record go back, or change without a new incarnation. */
+class record_watch
+{
+public:
+    void observe(const fleet_node &node)
+    {
+        for (const auto &known : node.membership.members) {
+            const auto &record = known.record;
+            auto &last = m_last[{node.index, record.name}];
+            if (last.generation == node.generation) {
+                m_isViolated = m_isViolated || record.incarnation < last.incarnation
+                    || (record.incarnation == last.incarnation && record.state != last.state);
+            }
+            last = {node.generation, record.incarnation, record.state};
+        }
+    }
+    [[nodiscard]] bool isViolated() const
+    {
+        return m_isViolated;
+    }
+
+private:
+    std::map<std::pair<std::size_t, std::string>, sighting> m_last;
+    bool m_isViolated{false};
+};
+
+} // namespace
+
+TEST_CASE("membership converges after every interleaving of faults and no live member stays removed")
+{
+    rc::prop("every live node knows exactly the live nodes once faults end", []() {
+        const auto options = genFleet(Nodes, Zones);
+        fleet nodes{options};
+        for (const auto &value : genFaults(MembershipFaults, MaxFaults)) {
+            apply(nodes, options, value);
+        }
+        repair(nodes);
+        const auto took = nodes.runUntil(
+            [&nodes] {
+                return nodes.isConverged();
+            },
+            ConvergenceLimit);
+        RC_ASSERT(took.has_value());
+        nodes.runFor(seconds{10});
+        RC_ASSERT(nodes.isConverged());
+        RC_ASSERT(nodes.greatestDatagram() <= MaxDatagramBytes);
+    });
+}
+
+TEST_CASE("record never goes back and never changes its state within an incarnation")
+{
+    rc::prop("Draining does not revert to Ready for the same incarnation", []() {
+        const auto options = genFleet(Nodes, Zones);
+        fleet nodes{options};
+        record_watch watch;
+        nodes.observe([&watch](const fleet_node &node) {
+            watch.observe(node);
+        });
+        for (const auto &value : genFaults(MembershipFaults, MaxFaults)) {
+            apply(nodes, options, value);
+        }
+        nodes.runFor(seconds{5});
+        RC_ASSERT_FALSE(watch.isViolated());
+    });
+}
+
+TEST_CASE("draining state is known to all within three seconds")
+{
+    rc::prop("every connected node knows it, with up to a fifth of datagrams lost", []() {
+        auto options = genFleet(16, 4);
+        options.startsWarm = true;
+        fleet nodes{options};
+        nodes.runFor(seconds{2});
+        const auto leaving = *rc::gen::inRange<std::size_t>(0, options.nodes);
+        nodes.setState(leaving, instance_state::Draining);
+        nodes.runFor(seconds{3});
+        RC_ASSERT(nodes.countKnowing(leaving, instance_state::Draining) == options.nodes - 1);
+    });
+}
+
+TEST_CASE("short pause of a process costs no member its place")
+{
+    rc::prop("a pause shorter than the suspicion timeout leads to no death", []() {
+        auto options = genFleet(Nodes, Zones);
+        options.startsWarm = true;
+        options.loss = 0.0;
+        fleet nodes{options};
+        nodes.runFor(seconds{2});
+        nodes.pause(*rc::gen::inRange<std::size_t>(0, Nodes), milliseconds{*rc::gen::inRange(100, 4'500)});
+        nodes.runFor(seconds{20});
+        std::uint64_t deaths{0};
+        for (const auto &node : nodes.nodes()) {
+            deaths += node.membership.counters.deaths;
+        }
+        RC_ASSERT(deaths == 0U);
+    });
+}
+
+TEST_CASE("killed member is removed everywhere and later forgotten")
+{
+    fleet_options options;
+    options.membership.deadRetention = seconds{60};
+    fleet nodes{options};
+    nodes.runFor(seconds{2});
+    nodes.kill(3);
+    nodes.runFor(seconds{15});
+    REQUIRE(nodes.countKnowing(3, std::nullopt) == options.nodes - 1);
+    REQUIRE(nodes.nodes().front().membership.members.size() == options.nodes);
+    nodes.runFor(seconds{80});
+    REQUIRE(nodes.nodes().front().membership.members.size() == options.nodes - 1);
+}
+
+TEST_CASE("member that announced that it is gone is removed at once")
+{
+    const fleet_options options;
+    fleet nodes{options};
+    nodes.runFor(seconds{2});
+    nodes.setState(3, instance_state::Gone);
+    nodes.runFor(seconds{2});
+    REQUIRE(nodes.countKnowing(3, std::nullopt) == options.nodes - 1);
+}
+
+TEST_CASE("control traffic at rest stays below its limit")
+{
+    constexpr double MaxBytesPerSecond{2'000.0};
+    const fleet_options options;
+    fleet nodes{options};
+    nodes.runFor(seconds{60});
+    for (const auto &node : nodes.nodes()) {
+        CAPTURE(node.name);
+        REQUIRE(static_cast<double>(node.bytes.sentBytes + node.bytes.receivedBytes) / 60.0 < MaxBytesPerSecond);
+    }
+}
