--- a/src/ragwortpin/node/data_plane.cpp
+++ b/src/ragwortpin/node/data_plane.cpp
@@ -83,7 +83,7 @@
                    },
                    randomSeed()}
     , m_rates{m_context, toRightsSettings(settings), toRightsIdentity(settings), m_services.rates, metrics}
-    , m_once{m_context, m_dispatcher, m_services.claims}
+    , m_once{m_context, m_dispatcher, m_services.claims, metrics}
     , m_callerServices{configuration,
                        m_dispatcher,
                        [this](std::string workspace, std::shared_ptr<call_control> control) {
--- a/src/ragwortpin/node/once_gateway.cpp
+++ b/src/ragwortpin/node/once_gateway.cpp
@@ -8,8 +8,8 @@
 namespace {
 
 constexpr duration StorePause{seconds{1}};
-/** Longest time that a refused call waits for the release of its claim. */
-constexpr duration ReleaseWait{milliseconds{500}};
+/** Longest time that an answer waits until its outcome is recorded, so that a repeated request is told the truth. */
+constexpr duration RecordWait{milliseconds{500}};
 
 std::uint64_t randomSeed()
 {
@@ -45,10 +45,11 @@
 
 } // namespace
 
-once_gateway::once_gateway(boost::asio::io_context &context, dispatcher &calls, claim_sender send)
+once_gateway::once_gateway(boost::asio::io_context &context, dispatcher &calls, claim_sender send, metrics_registry &metrics)
     : m_context{context}
     , m_calls{calls}
     , m_send{std::move(send)}
+    , m_unrecorded{metrics.counterFor("ragwortpin_claim_outcomes_late_total")}
     , m_random{randomSeed()}
 { }
 
@@ -118,20 +119,20 @@
     if (answer.result == outcome::Ran) {
         ending.answer = toRecord(answer.response);
     }
-    if (answer.result != outcome::NotRun) {
-        (void)m_send(std::move(ending));
-        co_return answer;
-    }
     m_waiting.emplace(id, std::make_shared<waiting_reply>(m_context));
     const bool sent = m_send(std::move(ending));
-    const auto released = co_await waitForReply(id, sent ? monotonicNow() + ReleaseWait : time_point{});
-    (void)released;
+    const auto recorded = co_await waitForReply(id, sent ? monotonicNow() + RecordWait : time_point{});
+    if (!recorded) {
+        m_unrecorded.add();
+    }
     co_return answer;
 }
 
 void once_gateway::release(const claim_handle &handle)
 {
-    (void)m_send(claim_finish{.id = ++m_lastId, .handle = handle, .result = outcome::NotRun, .answer = {}});
+    if (!m_send(claim_finish{.id = ++m_lastId, .handle = handle, .result = outcome::NotRun, .answer = {}})) {
+        m_unrecorded.add();
+    }
 }
 
 } // namespace ragwortpin
--- a/src/ragwortpin/node/once_gateway.h
+++ b/src/ragwortpin/node/once_gateway.h
@@ -28,7 +28,7 @@
 class once_gateway
 {
 public:
-    once_gateway(boost::asio::io_context &context, dispatcher &calls, claim_sender send);
+    once_gateway(boost::asio::io_context &context, dispatcher &calls, claim_sender send, metrics_registry &metrics);
 
     /** Runs one call, or answers from the record of an earlier one. */
     [[nodiscard]] boost::asio::awaitable<call_answer> run(inbound_call call);
@@ -57,6 +57,7 @@
     boost::asio::io_context &m_context;
     dispatcher &m_calls;
     claim_sender m_send;
+    counter &m_unrecorded;
     std::unordered_map<std::uint64_t, std::shared_ptr<waiting_reply>> m_waiting;
     std::uint64_t m_lastId{0};
     std::mt19937_64 m_random;
--- a/src/ragwortpin/targets/target_gateway.cpp
+++ b/src/ragwortpin/targets/target_gateway.cpp
@@ -78,6 +78,7 @@
                                     .expectedWork = duration::zero(),
                                     .admitProbability = call.context.admitProbability};
     const auto decision = offer(*m_admission, offered, arrived);
+    apply(decision.changes);
     for (const auto displaced : decision.displaced) {
         settle(displaced, slot_state::Displaced);
     }
