Say that nothing was changed when the store cannot be read

Cause: a trial printed the text of a lost answer, which speaks of a call that may be done, for a read.

--- a/src/ragwortpin/operators/commands.cpp
+++ b/src/ragwortpin/operators/commands.cpp
@@ -81,7 +81,10 @@
     [[nodiscard]] exit_code failReading(const std::error_code &error) const
     {
         const bool stored = error.category() == configCategory();
-        return fail(stored ? exit_code::Rejected : exit_code::StoreUnreachable, error.message());
+        if (stored) {
+            return fail(exit_code::Rejected, error.message());
+        }
+        return fail(exit_code::StoreUnreachable, "nothing was changed; the store could not be read (" + error.message() + ")");
     }
 
     /** Reads and checks the files; nothing, with the exit code set, when they are not a valid set. */
@@ -233,7 +236,8 @@
             reportRefusal(result, base);
             break;
         case publication_status::Unreachable:
-            m_environment.errors << "ragwortpinctl: nothing was changed: " << result.error.message() << "\n";
+            m_environment.errors << "ragwortpinctl: nothing was changed; run the same command again when the store answers (last error: "
+                                 << result.error.message() << ")\n";
             break;
         case publication_status::Unknown:
             m_environment.errors << "ragwortpinctl: it is unknown whether the set was accepted; run the same command again, which changes "
