--- a/tests/membership/protocol_test.cpp
+++ b/tests/membership/protocol_test.cpp
@@ -86,6 +86,25 @@
     });
 }
 
+TEST_CASE("sides of a cut that declared each other dead merge after it heals")
+{
+    rc::prop("every node knows every node again", []() {
+        auto options = genFleet(Nodes, Zones);
+        options.startsWarm = true;
+        fleet nodes{options};
+        nodes.runFor(seconds{2});
+        nodes.cut({*rc::gen::inRange<std::size_t>(0, Zones)});
+        nodes.runFor(seconds{*rc::gen::inRange(20, 60)});
+        nodes.heal();
+        const auto took = nodes.runUntil(
+            [&nodes] {
+                return nodes.isConverged();
+            },
+            ConvergenceLimit);
+        RC_ASSERT(took.has_value());
+    });
+}
+
 TEST_CASE("record never goes back and never changes its state within an incarnation")
 {
     rc::prop("Draining does not revert to Ready for the same incarnation", []() {
@@ -159,6 +178,17 @@
     REQUIRE(nodes.countKnowing(3, std::nullopt) == options.nodes - 1);
 }
 
+TEST_CASE("datagrams stay within their limit while many nodes start at once")
+{
+    fleet_options options;
+    options.nodes = 64;
+    options.startsWarm = false;
+    fleet nodes{options};
+    nodes.runFor(seconds{10});
+    REQUIRE(nodes.greatestDatagram() <= MaxDatagramBytes);
+    REQUIRE(nodes.greatestDatagram() > MaxDatagramBytes / 2);
+}
+
 TEST_CASE("control traffic at rest stays below its limit")
 {
     constexpr double MaxBytesPerSecond{2'000.0};
