--- a/src/ragwortpin/membership/exchange.cpp
+++ b/src/ragwortpin/membership/exchange.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-constexpr std::size_t DatagramOverheadBytes{128};
+constexpr std::size_t DatagramOverheadBytes{60};
 
 /** Changes by one reply from which on the table counts as far from complete. */
 constexpr std::uint64_t ManyChanges{4};
--- a/src/ragwortpin/membership/protocol.cpp
+++ b/src/ragwortpin/membership/protocol.cpp
@@ -16,7 +16,7 @@
 
 using internal::outputs;
 
-constexpr std::size_t DatagramOverheadBytes{128};
+constexpr std::size_t DatagramOverheadBytes{60};
 constexpr std::size_t SampleAttemptsFactor{4};
 constexpr duration RemovalInterval{seconds{10}};
 
@@ -40,9 +40,9 @@
 
 void refillBudget(membership_state &state, time_point now)
 {
-    const auto refill = toSeconds(now - state.lastTick) * state.options.bytesPerSecond;
-    state.gossipBytes = std::min(state.options.gossipBurstBytes, state.gossipBytes + refill);
-    state.exchangeBytes = std::min(state.options.exchangeBurstBytes, state.exchangeBytes + refill);
+    const auto elapsed = toSeconds(now - state.lastTick);
+    state.gossipBytes = std::min(state.options.gossipBurstBytes, state.gossipBytes + elapsed * state.options.gossipBytesPerSecond);
+    state.exchangeBytes = std::min(state.options.exchangeBurstBytes, state.exchangeBytes + elapsed * state.options.exchangeBytesPerSecond);
 }
 
 /** Peers of one round of gossip; distinct where there are enough. */
--- a/src/ragwortpin/membership/state.h
+++ b/src/ragwortpin/membership/state.h
@@ -59,10 +59,12 @@
     std::size_t crowdedQueue{64};
     /** Transmissions of an update by one node while the queue is crowded; urgent ones are exempt. */
     std::uint16_t crowdedTransmissions{3};
-    /** Bytes a second that gossip may use on average, and the same again for exchanges. */
-    double bytesPerSecond{500.0};
+    /** Bytes a second that gossip may use on average. */
+    double gossipBytesPerSecond{800.0};
+    /** Bytes a second that exchanges may use on average. */
+    double exchangeBytesPerSecond{500.0};
     /** Bytes that gossip may use at once. */
-    double gossipBurstBytes{20'000.0};
+    double gossipBurstBytes{30'000.0};
     /** Bytes that exchanges may use at once. */
     double exchangeBurstBytes{40'000.0};
     /** Members kept at most. */
