--- a/src/bench/fleet/faults.cpp
+++ b/src/bench/fleet/faults.cpp
@@ -11,46 +11,46 @@
 
 } // namespace
 
-void apply(fleet &nodes, const fleet_options &options, const fault &value)
+void apply(fleet &nodes, const fleet_options &options, const fleet_fault &value)
 {
     const auto span = value.tenths * Tenth;
     const auto index = value.subject % options.nodes;
     const auto zone = value.subject % options.zones;
     nodes.runFor(span);
     switch (value.kind) {
-    case fault_kind::Wait:
+    case fleet_fault_kind::Wait:
         break;
-    case fault_kind::Kill:
+    case fleet_fault_kind::Kill:
         nodes.kill(index);
         break;
-    case fault_kind::Restart:
+    case fleet_fault_kind::Restart:
         nodes.restart(index);
         break;
-    case fault_kind::Pause:
+    case fleet_fault_kind::Pause:
         nodes.pause(index, span);
         break;
-    case fault_kind::Cut:
+    case fleet_fault_kind::Cut:
         nodes.cut({zone});
         break;
-    case fault_kind::Heal:
+    case fleet_fault_kind::Heal:
         nodes.heal();
         break;
-    case fault_kind::StoreDown:
+    case fleet_fault_kind::StoreDown:
         nodes.setStoreDown(true);
         break;
-    case fault_kind::StoreUp:
+    case fleet_fault_kind::StoreUp:
         nodes.setStoreDown(false);
         break;
-    case fault_kind::Publish:
+    case fleet_fault_kind::Publish:
         nodes.publish();
         break;
-    case fault_kind::Drain:
+    case fleet_fault_kind::Drain:
         nodes.setState(index, instance_state::Draining);
         break;
-    case fault_kind::Ready:
+    case fleet_fault_kind::Ready:
         nodes.setState(index, instance_state::Ready);
         break;
-    case fault_kind::ForgeClaim:
+    case fleet_fault_kind::ForgeClaim:
         nodes.forgeClaim(index, ForgedRevision);
         break;
     }
@@ -68,7 +68,7 @@
     }
 }
 
-std::ostream &operator<<(std::ostream &out, const fault &value)
+std::ostream &operator<<(std::ostream &out, const fleet_fault &value)
 {
     return out << "{kind " << static_cast<unsigned>(value.kind) << ", subject " << static_cast<unsigned>(value.subject) << ", tenths "
                << static_cast<unsigned>(value.tenths) << '}';
--- a/src/bench/fleet/faults.h
+++ b/src/bench/fleet/faults.h
@@ -10,7 +10,7 @@
 namespace ragwortpin::bench {
 
 /** What happens to a fleet. */
-enum class fault_kind : unsigned char {
+enum class fleet_fault_kind : unsigned char {
     Wait,
     Kill,
     Restart,
@@ -28,23 +28,23 @@
 /** One thing that happens, after a time. */
 struct fault
 {
-    fault_kind kind{fault_kind::Wait};
+    fleet_fault_kind kind{fleet_fault_kind::Wait};
     /** Chooses the node or availability zone, modulo their number. */
     std::uint8_t subject{0};
     /** Time before it happens, in tenths of a second; for a pause also its length. */
     std::uint8_t tenths{0};
 
-    bool operator==(const fault &) const = default;
+    bool operator==(const fleet_fault &) const = default;
 };
 
 /** Lets time pass and makes the fault happen. */
-void apply(fleet &nodes, const fleet_options &options, const fault &value);
+void apply(fleet &nodes, const fleet_options &options, const fleet_fault &value);
 
 /** Ends cuts, pauses, outage and loss, and starts the nodes that were killed. */
 void repair(fleet &nodes);
 
 /** Writes a fault for the report of a failed property. */
-std::ostream &operator<<(std::ostream &out, const fault &value);
+std::ostream &operator<<(std::ostream &out, const fleet_fault &value);
 
 } // namespace ragwortpin::bench
 
--- a/src/bench/fleet/fleet.cpp
+++ b/src/bench/fleet/fleet.cpp
@@ -200,7 +200,7 @@
 
 void fleet::setState(std::size_t index, instance_state state)
 {
-    step(index, m_nodes[index].generation, [this, state](fleet_node &node) {
+    step(index, m_nodes[index].generation, [state](fleet_node &node) {
         auto record = node.membership.members.front().record;
         record.state = state;
         setOwnRecord(node.membership, record);
--- a/tests/membership/fleet_generators.h
+++ b/tests/membership/fleet_generators.h
@@ -9,9 +9,9 @@
 #include <vector>
 
 /** Faults of the given kinds, up to so many. */
-inline std::vector<ragwortpin::bench::fault> genFaults(std::vector<ragwortpin::bench::fault_kind> kinds, int most)
+inline std::vector<ragwortpin::bench::fleet_fault> genFaults(std::vector<ragwortpin::bench::fleet_fault_kind> kinds, int most)
 {
-    std::vector<ragwortpin::bench::fault> faults;
+    std::vector<ragwortpin::bench::fleet_fault> faults;
     const auto count = *rc::gen::inRange(1, most + 1);
     for (int index{0}; index < count; ++index) {
         const auto kind = *rc::gen::elementOf(kinds);
--- a/tests/membership/protocol_test.cpp
+++ b/tests/membership/protocol_test.cpp
@@ -20,14 +20,14 @@
 constexpr int MaxFaults{10};
 constexpr seconds ConvergenceLimit{90};
 
-const std::vector<fault_kind> MembershipFaults{fault_kind::Wait,
-                                               fault_kind::Kill,
-                                               fault_kind::Restart,
-                                               fault_kind::Pause,
-                                               fault_kind::Cut,
-                                               fault_kind::Heal,
-                                               fault_kind::Drain,
-                                               fault_kind::Ready};
+const std::vector<fleet_fault_kind> MembershipFaults{fleet_fault_kind::Wait,
+                                                     fleet_fault_kind::Kill,
+                                                     fleet_fault_kind::Restart,
+                                                     fleet_fault_kind::Pause,
+                                                     fleet_fault_kind::Cut,
+                                                     fleet_fault_kind::Heal,
+                                                     fleet_fault_kind::Drain,
+                                                     fleet_fault_kind::Ready};
 
 /** What one node saw last of another one's record. */
 struct sighting
--- a/tests/spread/spread_test.cpp
+++ b/tests/spread/spread_test.cpp
@@ -18,17 +18,17 @@
 constexpr int MaxFaults{12};
 constexpr seconds QuietTime{60};
 
-const std::vector<fault_kind> AllFaults{fault_kind::Wait,
-                                        fault_kind::Kill,
-                                        fault_kind::Restart,
-                                        fault_kind::Pause,
-                                        fault_kind::Cut,
-                                        fault_kind::Heal,
-                                        fault_kind::StoreDown,
-                                        fault_kind::StoreUp,
-                                        fault_kind::Publish,
-                                        fault_kind::Publish,
-                                        fault_kind::ForgeClaim};
+const std::vector<fleet_fault_kind> AllFaults{fleet_fault_kind::Wait,
+                                              fleet_fault_kind::Kill,
+                                              fleet_fault_kind::Restart,
+                                              fleet_fault_kind::Pause,
+                                              fleet_fault_kind::Cut,
+                                              fleet_fault_kind::Heal,
+                                              fleet_fault_kind::StoreDown,
+                                              fleet_fault_kind::StoreUp,
+                                              fleet_fault_kind::Publish,
+                                              fleet_fault_kind::Publish,
+                                              fleet_fault_kind::ForgeClaim};
 
 } // namespace
 
