--- a/src/ragwortpin/rights/slots.h
+++ b/src/ragwortpin/rights/slots.h
@@ -15,6 +15,7 @@
 #include <string>
 #include <string_view>
 #include <system_error>
+#include <tuple>
 #include <vector>
 
 namespace ragwortpin {
@@ -28,7 +29,12 @@
     std::string availabilityZone;
     std::uint32_t index{0};
 
-    auto operator<=>(const slot_id &) const = default;
+    bool operator==(const slot_id &) const = default;
+
+    [[nodiscard]] bool operator<(const slot_id &other) const noexcept
+    {
+        return std::tie(availabilityZone, index) < std::tie(other.availabilityZone, other.index);
+    }
 };
 
 /** Value of a slot's key. An empty owner means that the slot was released. */
