--- a/src/bench/fleet/event_queue.cpp
+++ b/src/bench/fleet/event_queue.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-namespace ragwortpin::bench {
+namespace ragwortpin::fleet_bench {
 
 void event_queue::add(time_point when, std::function<void()> action)
 {
@@ -28,4 +28,4 @@
     return left.when != right.when ? left.when > right.when : left.order > right.order;
 }
 
-} // namespace ragwortpin::bench
+} // namespace ragwortpin::fleet_bench
--- a/src/bench/fleet/event_queue.h
+++ b/src/bench/fleet/event_queue.h
@@ -7,7 +7,7 @@
 #include <functional>
 #include <vector>
 
-namespace ragwortpin::bench {
+namespace ragwortpin::fleet_bench {
 
 /** Actions in order of virtual time; those of the same instant in the order in which they were added. */
 class event_queue
@@ -40,6 +40,6 @@
     std::vector<event> m_heap;
 };
 
-} // namespace ragwortpin::bench
+} // namespace ragwortpin::fleet_bench
 
 #endif
--- a/src/bench/fleet/faults.cpp
+++ b/src/bench/fleet/faults.cpp
@@ -2,7 +2,7 @@
 
 #include <ostream>
 
-namespace ragwortpin::bench {
+namespace ragwortpin::fleet_bench {
 
 namespace {
 
@@ -74,4 +74,4 @@
                << static_cast<unsigned>(value.tenths) << '}';
 }
 
-} // namespace ragwortpin::bench
+} // namespace ragwortpin::fleet_bench
--- a/src/bench/fleet/faults.h
+++ b/src/bench/fleet/faults.h
@@ -7,7 +7,7 @@
 #include <iosfwd>
 #include <vector>
 
-namespace ragwortpin::bench {
+namespace ragwortpin::fleet_bench {
 
 /** What happens to a fleet. */
 enum class fleet_fault_kind : unsigned char {
@@ -26,7 +26,7 @@
 };
 
 /** One thing that happens, after a time. */
-struct fault
+struct fleet_fault
 {
     fleet_fault_kind kind{fleet_fault_kind::Wait};
     /** Chooses the node or availability zone, modulo their number. */
@@ -46,6 +46,6 @@
 /** Writes a fault for the report of a failed property. */
 std::ostream &operator<<(std::ostream &out, const fleet_fault &value);
 
-} // namespace ragwortpin::bench
+} // namespace ragwortpin::fleet_bench
 
 #endif
--- a/src/bench/fleet/fleet.cpp
+++ b/src/bench/fleet/fleet.cpp
@@ -7,7 +7,7 @@
 #include <memory>
 #include <utility>
 
-namespace ragwortpin::bench {
+namespace ragwortpin::fleet_bench {
 
 namespace {
 
@@ -485,4 +485,4 @@
     return found == m_indexByAddress.end() ? m_nodes.size() : found->second;
 }
 
-} // namespace ragwortpin::bench
+} // namespace ragwortpin::fleet_bench
--- a/src/bench/fleet/fleet.h
+++ b/src/bench/fleet/fleet.h
@@ -17,7 +17,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace ragwortpin::bench {
+namespace ragwortpin::fleet_bench {
 
 /** Size and conditions of a fleet in virtual time. */
 struct fleet_options
@@ -206,6 +206,6 @@
     std::function<void(const fleet_node &)> m_observer;
 };
 
-} // namespace ragwortpin::bench
+} // namespace ragwortpin::fleet_bench
 
 #endif
--- a/src/bench/fleet/scenarios.cpp
+++ b/src/bench/fleet/scenarios.cpp
@@ -7,7 +7,7 @@
 #include <algorithm>
 #include <cmath>
 
-namespace ragwortpin::bench {
+namespace ragwortpin::fleet_bench {
 
 namespace {
 
@@ -274,4 +274,4 @@
     return figures;
 }
 
-} // namespace ragwortpin::bench
+} // namespace ragwortpin::fleet_bench
--- a/src/bench/fleet/scenarios.h
+++ b/src/bench/fleet/scenarios.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-namespace ragwortpin::bench {
+namespace ragwortpin::fleet_bench {
 
 /** What a scenario of the fleet bench is run with. */
 struct scenario_options
@@ -40,6 +40,6 @@
 /** Seconds until all nodes know each other after a cut of one availability zone, and after a start of all at once. */
 [[nodiscard]] std::vector<figure> measureMerging(const scenario_options &options);
 
-} // namespace ragwortpin::bench
+} // namespace ragwortpin::fleet_bench
 
 #endif
--- a/src/bench/ragwortpin_fleet_bench.cpp
+++ b/src/bench/ragwortpin_fleet_bench.cpp
@@ -14,7 +14,7 @@
 #include <vector>
 
 using namespace ragwortpin;
-using namespace ragwortpin::bench;
+using namespace ragwortpin::fleet_bench;
 
 namespace {
 
--- a/tests/membership/fleet_generators.h
+++ b/tests/membership/fleet_generators.h
@@ -9,9 +9,9 @@
 #include <vector>
 
 /** Faults of the given kinds, up to so many. */
-inline std::vector<ragwortpin::bench::fleet_fault> genFaults(std::vector<ragwortpin::bench::fleet_fault_kind> kinds, int most)
+inline std::vector<ragwortpin::fleet_bench::fleet_fault> genFaults(std::vector<ragwortpin::fleet_bench::fleet_fault_kind> kinds, int most)
 {
-    std::vector<ragwortpin::bench::fleet_fault> faults;
+    std::vector<ragwortpin::fleet_bench::fleet_fault> faults;
     const auto count = *rc::gen::inRange(1, most + 1);
     for (int index{0}; index < count; ++index) {
         const auto kind = *rc::gen::elementOf(kinds);
@@ -23,9 +23,9 @@
 }
 
 /** A small fleet over a network that loses, repeats, delays and reorders, with clocks that drift. */
-inline ragwortpin::bench::fleet_options genFleet(std::size_t nodes, std::size_t zones)
+inline ragwortpin::fleet_bench::fleet_options genFleet(std::size_t nodes, std::size_t zones)
 {
-    ragwortpin::bench::fleet_options options;
+    ragwortpin::fleet_bench::fleet_options options;
     options.nodes = nodes;
     options.zones = zones;
     options.seed = *rc::gen::arbitrary<std::uint64_t>();
--- a/tests/membership/protocol_test.cpp
+++ b/tests/membership/protocol_test.cpp
@@ -11,7 +11,7 @@
 #include <utility>
 
 using namespace ragwortpin;
-using namespace ragwortpin::bench;
+using namespace ragwortpin::fleet_bench;
 
 namespace {
 
--- a/tests/spread/spread_test.cpp
+++ b/tests/spread/spread_test.cpp
@@ -9,7 +9,7 @@
 #include <algorithm>
 
 using namespace ragwortpin;
-using namespace ragwortpin::bench;
+using namespace ragwortpin::fleet_bench;
 
 namespace {
 
