--- a/src/bench/overload/surge_experiments.cpp
+++ b/src/bench/overload/surge_experiments.cpp
@@ -165,9 +165,9 @@
 
 namespace {
 
-    /** Runs the goodput experiment under some policies. */
-    [[nodiscard]] report goodputUnder(const experiment_input &input, std::span<const control_policy> policies)
-    {
+/** Runs the goodput experiment under some policies. */
+[[nodiscard]] report goodputUnder(const experiment_input &input, std::span<const control_policy> policies)
+{
     report found;
     table rows{"Goodput, rank 0 and wasted work under load",
                {"deployment", "depth", "load", "policy", "capacity/s", "goodput %", "rank 0 answered %", "wasted work %", "target"},
--- a/src/ragwortpin/admission/admission.cpp
+++ b/src/ragwortpin/admission/admission.cpp
@@ -300,7 +300,8 @@
 {
     const auto found = state.running.find(id);
     if (found != state.running.end()) {
-        internal::correctCharge(state, found->second, static_cast<double>((now - found->second.startedAt).count()), internal::averageWorkOf(state));
+        internal::correctCharge(
+            state, found->second, static_cast<double>((now - found->second.startedAt).count()), internal::averageWorkOf(state));
         state.running.erase(found);
         state.counters.cancelled += 1;
         return internal::advance(state, now);
