--- a/src/ragwortpin/admission/first_hop.h
+++ b/src/ragwortpin/admission/first_hop.h
@@ -3,6 +3,7 @@
 
 #include "ragwortpin/admission/fwd.h"
 #include "ragwortpin/admission/shed_level.h"
+#include "ragwortpin/core/string_hash.h"
 #include "ragwortpin/core/time.h"
 
 #include <cstddef>
@@ -13,17 +14,6 @@
 
 namespace ragwortpin {
 
-/** Hash that finds strings by views. */
-struct string_hash
-{
-    using is_transparent = void;
-
-    [[nodiscard]] std::size_t operator()(std::string_view text) const noexcept
-    {
-        return std::hash<std::string_view>{}(text);
-    }
-};
-
 /** Level heard of one route and workspace. */
 struct heard_level
 {
@@ -35,7 +25,7 @@
 };
 
 /** Shed levels heard by workspace, of one route. */
-using heard_levels = std::unordered_map<std::string, heard_level, string_hash, std::equal_to<>>;
+using heard_levels = string_table<heard_level>;
 
 /** Settings of the refusal at the first hop. */
 struct first_hop_options
@@ -58,7 +48,7 @@
 struct shed_memory
 {
     first_hop_options options;
-    std::unordered_map<std::string, heard_levels, string_hash, std::equal_to<>> levels;
+    string_table<heard_levels> levels;
 
     bool operator==(const shed_memory &) const = default;
 };
--- a/src/ragwortpin/claims/claims.cpp
+++ b/src/ragwortpin/claims/claims.cpp
@@ -116,9 +116,9 @@
             continue;
         }
         const auto written = reply.succeeded || (reply.entries.empty() ? !value : reply.entries.front().value == value);
-        return written ? std::error_code{} : make_error_code(claims_error::ClaimLost);
+        return written ? std::error_code{} : make_error_code(claims_errc::ClaimLost);
     }
-    return claims_error::StoreUnavailable;
+    return claims_errc::StoreUnavailable;
 }
 
 [[nodiscard]] bool isExpired(const claim_settings &settings, const store_entry &entry, microseconds wallClock)
@@ -201,7 +201,7 @@
 {
     const auto read = call(store_range{handle.key, {}, 0});
     if (read.error) {
-        return claims_error::StoreUnavailable;
+        return claims_errc::StoreUnavailable;
     }
     if (read.entries.empty()) {
         return {};
@@ -213,7 +213,7 @@
         return {};
     }
     const auto removed = call(store_transaction{{{entry.key, entry.modRevision}}, {{entry.key, std::nullopt, 0}}, {}});
-    return removed.error ? make_error_code(claims_error::StoreUnavailable) : std::error_code{};
+    return removed.error ? make_error_code(claims_errc::StoreUnavailable) : std::error_code{};
 }
 
 prune_result pruneClaims(const claim_settings &settings, const store_call &call, const prune_cursor &cursor, microseconds wallClock)
--- a/src/ragwortpin/claims/errors.cpp
+++ b/src/ragwortpin/claims/errors.cpp
@@ -9,15 +9,15 @@
 namespace {
 
 constexpr std::array ClaimsErrorTexts{
-    error_text<claims_error>{claims_error::RecordMalformed,
-                             "a claim record cannot be read; check that all nodes run the same release and let retention remove it"},
-    error_text<claims_error>{claims_error::StoreUnavailable,
-                             "the outcome of a once-request could not be recorded; its key answers 'unknown' until it is removed"},
-    error_text<claims_error>{claims_error::ClaimLost,
-                             "the claim is held by another attempt; check that no tool writes below ragwortpin/claims/"},
+    error_text<claims_errc>{claims_errc::RecordMalformed,
+                            "a claim record cannot be read; check that all nodes run the same release and let retention remove it"},
+    error_text<claims_errc>{claims_errc::StoreUnavailable,
+                            "the outcome of a once-request could not be recorded; its key answers 'unknown' until it is removed"},
+    error_text<claims_errc>{claims_errc::ClaimLost,
+                            "the claim is held by another attempt; check that no tool writes below ragwortpin/claims/"},
 };
 
-const error_category<claims_error, ClaimsErrorTexts.size()> ClaimsCategory{"ragwortpin.claims", ClaimsErrorTexts};
+const error_category<claims_errc, ClaimsErrorTexts.size()> ClaimsCategory{"ragwortpin.claims", ClaimsErrorTexts};
 
 } // namespace
 
@@ -26,7 +26,7 @@
     return ClaimsCategory;
 }
 
-std::error_code make_error_code(claims_error error) noexcept
+std::error_code make_error_code(claims_errc error) noexcept
 {
     return {static_cast<int>(error), claimsCategory()};
 }
--- a/src/ragwortpin/claims/errors.h
+++ b/src/ragwortpin/claims/errors.h
@@ -9,22 +9,22 @@
 namespace ragwortpin {
 
 /** Errors of the claims of once-routes. */
-enum class claims_error {
+enum class claims_errc {
     RecordMalformed = 1,
     StoreUnavailable,
     ClaimLost,
 };
 
-/** Category of claims_error. */
+/** Category of claims_errc. */
 [[nodiscard]] const std::error_category &claimsCategory() noexcept;
 
 /** Makes an error code of an error kind; found by argument-dependent lookup. */
-[[nodiscard]] std::error_code make_error_code(claims_error error) noexcept;
+[[nodiscard]] std::error_code make_error_code(claims_errc error) noexcept;
 
 } // namespace ragwortpin
 
 template<>
-struct std::is_error_code_enum<ragwortpin::claims_error> : std::true_type
+struct std::is_error_code_enum<ragwortpin::claims_errc> : std::true_type
 { };
 
 #endif
--- a/src/ragwortpin/claims/fwd.h
+++ b/src/ragwortpin/claims/fwd.h
@@ -3,7 +3,7 @@
 
 namespace ragwortpin {
 
-enum class claims_error;
+enum class claims_errc;
 enum class claim_verdict : unsigned char;
 struct claim_settings;
 struct claim_request;
--- a/src/ragwortpin/claims/record.cpp
+++ b/src/ragwortpin/claims/record.cpp
@@ -75,7 +75,7 @@
     error.clear();
     claim_record record;
     if (!tryRead(bytes, record)) {
-        error = claims_error::RecordMalformed;
+        error = claims_errc::RecordMalformed;
         return {};
     }
     return record;
--- a/src/ragwortpin/config/lookup.h
+++ b/src/ragwortpin/config/lookup.h
@@ -2,6 +2,7 @@
 #define RAGWORTPIN_CONFIG_LOOKUP_H
 
 #include "ragwortpin/config/model.h"
+#include "ragwortpin/core/string_hash.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -15,24 +16,6 @@
 
 namespace ragwortpin {
 
-namespace internal {
-
-/** Lets hash tables keyed by std::string be searched by std::string_view. */
-struct string_hash
-{
-    using is_transparent = void;
-
-    [[nodiscard]] std::size_t operator()(std::string_view text) const noexcept
-    {
-        return std::hash<std::string_view>{}(text);
-    }
-};
-
-template<typename Value>
-using string_table = std::unordered_map<std::string, Value, string_hash, std::equal_to<>>;
-
-} // namespace internal
-
 /** A route with what its importance means. */
 struct indexed_route
 {
@@ -64,15 +47,15 @@
     /** In the order of value.routes. */
     std::vector<indexed_route> routes;
     /** Positions in routes, by path. */
-    internal::string_table<std::vector<std::size_t>> routesByPath;
+    string_table<std::vector<std::size_t>> routesByPath;
     /** Most segments of any route's path. */
     std::size_t deepestPath{0};
     /** Sorted by digest. */
     std::vector<indexed_key> keys;
-    internal::string_table<std::size_t> workspacesByName;
-    internal::string_table<std::size_t> servicesByName;
-    internal::string_table<unsigned> ranksByName;
-    internal::string_table<std::size_t> availabilityZonesByName;
+    string_table<std::size_t> workspacesByName;
+    string_table<std::size_t> servicesByName;
+    string_table<unsigned> ranksByName;
+    string_table<std::size_t> availabilityZonesByName;
 };
 
 /** Builds the index of a checked configuration. Objects with references that do not resolve are left out. */
--- a/src/ragwortpin/node/claims_duty.cpp
+++ b/src/ragwortpin/node/claims_duty.cpp
@@ -101,7 +101,7 @@
 
 void claims_duty::drop(const claim_handle &abandoned)
 {
-    if (dropAbandoned(m_call, abandoned) != claims_error::StoreUnavailable) {
+    if (dropAbandoned(m_call, abandoned) != claims_errc::StoreUnavailable) {
         return;
     }
     auto timer = std::make_shared<boost::asio::steady_timer>(m_context, DropRetryInterval);
--- a/src/ragwortpin/peers/control_client.cpp
+++ b/src/ragwortpin/peers/control_client.cpp
@@ -69,7 +69,7 @@
     try {
         std::rethrow_exception(exception);
     } catch (const boost::system::system_error &error) {
-        return error.code() == beast::error::timeout ? peers_error::PeerTimeout : peers_error::PeerUnreachable;
+        return error.code() == beast::error::timeout ? peers_errc::PeerTimeout : peers_errc::PeerUnreachable;
     }
 }
 
@@ -77,7 +77,7 @@
 {
     const auto signature = answer[view(ControlSignatureHeader)];
     const auto isValid = answer.result() == http::status::ok && isSigned(answer.body(), {signature.data(), signature.size()}, secrets);
-    return isValid ? std::error_code{} : make_error_code(peers_error::PeerAnswerInvalid);
+    return isValid ? std::error_code{} : make_error_code(peers_errc::PeerAnswerInvalid);
 }
 
 /** Transport for the JSON-RPC client that keeps the error of the call. */
@@ -94,7 +94,7 @@
 /** Error of a call that the JSON-RPC client reported as failed. */
 std::error_code failureOf(const std::error_code &transportError)
 {
-    return transportError ? transportError : make_error_code(peers_error::PeerAnswerInvalid);
+    return transportError ? transportError : make_error_code(peers_errc::PeerAnswerInvalid);
 }
 
 } // namespace
--- a/src/ragwortpin/peers/datagram.cpp
+++ b/src/ragwortpin/peers/datagram.cpp
@@ -43,7 +43,7 @@
     return CRYPTO_memcmp(expected.data(), tag.data(), SignatureBytes) == 0;
 }
 
-datagram_result failure(peers_error error)
+datagram_result failure(peers_errc error)
 {
     return {make_error_code(error), {}};
 }
@@ -56,18 +56,18 @@
 datagram_result decode(const msgpack::object &envelope)
 {
     if (envelope.type != msgpack::type::ARRAY || envelope.via.array.size == 0) {
-        return failure(peers_error::DatagramMalformed);
+        return failure(peers_errc::DatagramMalformed);
     }
     const auto *fields = envelope.via.array.ptr;
     if (fields[0].as<std::uint8_t>() != EnvelopeVersion) {
-        return failure(peers_error::DatagramVersionUnknown);
+        return failure(peers_errc::DatagramVersionUnknown);
     }
     if (envelope.via.array.size != EnvelopeFields) {
-        return failure(peers_error::DatagramMalformed);
+        return failure(peers_errc::DatagramMalformed);
     }
     const auto kind = fields[1].as<std::uint8_t>();
     if (!isKnownKind(kind)) {
-        return failure(peers_error::DatagramKindUnknown);
+        return failure(peers_errc::DatagramKindUnknown);
     }
     datagram_result result;
     result.value.kind = static_cast<datagram_kind>(kind);
@@ -76,7 +76,7 @@
     result.value.sentAt = seconds{fields[4].as<std::uint32_t>()};
     result.value.payload = fields[5].as<std::string>();
     if (result.value.sender.size() > MaxDatagramNameBytes || result.value.availabilityZone.size() > MaxDatagramNameBytes) {
-        return failure(peers_error::DatagramMalformed);
+        return failure(peers_errc::DatagramMalformed);
     }
     return result;
 }
@@ -87,11 +87,11 @@
         const msgpack::unpack_limit limit{EnvelopeFields, 0, MaxDatagramBytes, MaxDatagramBytes, 0, MaxContainerDepth};
         std::size_t offset{0};
         const auto handle = msgpack::unpack(body.data(), body.size(), offset, nullptr, nullptr, limit);
-        return offset == body.size() ? decode(handle.get()) : failure(peers_error::DatagramMalformed);
+        return offset == body.size() ? decode(handle.get()) : failure(peers_errc::DatagramMalformed);
     } catch (const msgpack::unpack_error &) {
-        return failure(peers_error::DatagramMalformed);
+        return failure(peers_errc::DatagramMalformed);
     } catch (const msgpack::type_error &) {
-        return failure(peers_error::DatagramMalformed);
+        return failure(peers_errc::DatagramMalformed);
     }
 }
 
@@ -100,7 +100,7 @@
 seal_result seal(const datagram &value, std::string_view secret)
 {
     if (value.sender.size() > MaxDatagramNameBytes || value.availabilityZone.size() > MaxDatagramNameBytes) {
-        return {make_error_code(peers_error::DatagramTooLarge), {}};
+        return {make_error_code(peers_errc::DatagramTooLarge), {}};
     }
     msgpack::sbuffer buffer{MaxDatagramBytes};
     msgpack::packer<msgpack::sbuffer> packer{buffer};
@@ -113,7 +113,7 @@
     packer.pack_bin(static_cast<std::uint32_t>(value.payload.size()));
     packer.pack_bin_body(value.payload.data(), static_cast<std::uint32_t>(value.payload.size()));
     if (buffer.size() + SignatureBytes > MaxDatagramBytes) {
-        return {make_error_code(peers_error::DatagramTooLarge), {}};
+        return {make_error_code(peers_errc::DatagramTooLarge), {}};
     }
     seal_result result;
     result.bytes.assign(buffer.data(), buffer.size());
@@ -125,19 +125,19 @@
 datagram_result open(std::string_view bytes, const datagram_secrets &secrets, microseconds wallClock)
 {
     if (bytes.size() > MaxDatagramBytes) {
-        return failure(peers_error::DatagramTooLarge);
+        return failure(peers_errc::DatagramTooLarge);
     }
     if (bytes.size() <= SignatureBytes) {
-        return failure(peers_error::DatagramTooShort);
+        return failure(peers_errc::DatagramTooShort);
     }
     const auto body = bytes.substr(0, bytes.size() - SignatureBytes);
     const auto tag = bytes.substr(body.size());
     if (!isSignedWith(body, tag, secrets.current) && !isSignedWith(body, tag, secrets.previous)) {
-        return failure(peers_error::DatagramForged);
+        return failure(peers_errc::DatagramForged);
     }
     auto result = decodeBody(body);
     if (!result.error && std::chrono::abs(wallClock - result.value.sentAt) > MaxDatagramAge) {
-        return failure(peers_error::DatagramStale);
+        return failure(peers_errc::DatagramStale);
     }
     return result;
 }
--- a/src/ragwortpin/peers/error.h
+++ b/src/ragwortpin/peers/error.h
@@ -9,7 +9,7 @@
 namespace ragwortpin {
 
 /** What can go wrong in the traffic between nodes. */
-enum class peers_error : int {
+enum class peers_errc : int {
     DatagramTooLarge = 1,
     DatagramTooShort,
     DatagramForged,
@@ -26,12 +26,12 @@
 };
 
 /** Makes an error code of the peers category. */
-[[nodiscard]] std::error_code make_error_code(peers_error error) noexcept;
+[[nodiscard]] std::error_code make_error_code(peers_errc error) noexcept;
 
 } // namespace ragwortpin
 
 template<>
-struct std::is_error_code_enum<ragwortpin::peers_error> : std::true_type
+struct std::is_error_code_enum<ragwortpin::peers_errc> : std::true_type
 { };
 
 #endif
--- a/src/ragwortpin/peers/fwd.h
+++ b/src/ragwortpin/peers/fwd.h
@@ -3,7 +3,7 @@
 
 namespace ragwortpin {
 
-enum class peers_error : int;
+enum class peers_errc : int;
 enum class datagram_kind : unsigned char;
 struct datagram;
 struct datagram_result;
--- a/src/ragwortpin/peers/udp_channel.cpp
+++ b/src/ragwortpin/peers/udp_channel.cpp
@@ -24,7 +24,7 @@
     boost::system::error_code error;
     const auto address = asio::ip::make_address(local.address, error);
     if (error) {
-        return peers_error::SocketUnavailable;
+        return peers_errc::SocketUnavailable;
     }
     const asio::ip::udp::endpoint endpoint{address, local.port};
     m_socket.open(endpoint.protocol(), error);
@@ -35,7 +35,7 @@
         m_socket.non_blocking(true, error);
     }
     if (error) {
-        return peers_error::SocketUnavailable;
+        return peers_errc::SocketUnavailable;
     }
     receiveNext();
     return {};
@@ -85,7 +85,7 @@
     m_counters.bytesReceived += size + UdpHeaderBytes;
     auto opened = ragwortpin::open({m_buffer.data(), size}, m_secrets, wallClockNow());
     if (opened.error) {
-        ++(opened.error == peers_error::DatagramStale ? m_counters.stale : m_counters.refused);
+        ++(opened.error == peers_errc::DatagramStale ? m_counters.stale : m_counters.refused);
         return;
     }
     m_receive(std::move(opened.value), {m_from.address().to_string(), m_from.port()});
--- a/src/ragwortpin/rights/errors.cpp
+++ b/src/ragwortpin/rights/errors.cpp
@@ -9,15 +9,15 @@
 namespace {
 
 constexpr std::array RightsErrorTexts{
-    error_text<rights_error>{rights_error::MessageTooLong,
-                             "the rights message exceeds 1200 bytes; check that all nodes run the same release"},
-    error_text<rights_error>{rights_error::MessageMalformed,
-                             "the rights message cannot be decoded; check that all nodes run the same release"},
-    error_text<rights_error>{rights_error::RecordMalformed,
-                             "a slot record cannot be read; delete its key so that a node can take the slot after the lapse"},
+    error_text<rights_errc>{rights_errc::MessageTooLong,
+                            "the rights message exceeds 1200 bytes; check that all nodes run the same release"},
+    error_text<rights_errc>{rights_errc::MessageMalformed,
+                            "the rights message cannot be decoded; check that all nodes run the same release"},
+    error_text<rights_errc>{rights_errc::RecordMalformed,
+                            "a slot record cannot be read; delete its key so that a node can take the slot after the lapse"},
 };
 
-const error_category<rights_error, RightsErrorTexts.size()> RightsCategory{"ragwortpin.rights", RightsErrorTexts};
+const error_category<rights_errc, RightsErrorTexts.size()> RightsCategory{"ragwortpin.rights", RightsErrorTexts};
 
 } // namespace
 
@@ -26,7 +26,7 @@
     return RightsCategory;
 }
 
-std::error_code make_error_code(rights_error error) noexcept
+std::error_code make_error_code(rights_errc error) noexcept
 {
     return {static_cast<int>(error), rightsCategory()};
 }
--- a/src/ragwortpin/rights/fwd.h
+++ b/src/ragwortpin/rights/fwd.h
@@ -3,7 +3,7 @@
 
 namespace ragwortpin {
 
-enum class rights_error;
+enum class rights_errc;
 struct rights_settings;
 struct rights_identity;
 struct rights_message;
--- a/src/ragwortpin/rights/messages.cpp
+++ b/src/ragwortpin/rights/messages.cpp
@@ -61,7 +61,7 @@
 {
     error.clear();
     if (bytes.size() > MaxRightsMessageBytes) {
-        error = rights_error::MessageTooLong;
+        error = rights_errc::MessageTooLong;
         return {};
     }
     rights_message message;
@@ -69,7 +69,7 @@
         message = unpackMessage(object);
     });
     if (!whole) {
-        error = rights_error::MessageMalformed;
+        error = rights_errc::MessageMalformed;
         return {};
     }
     return message;
--- a/src/ragwortpin/rights/slot_record.cpp
+++ b/src/ragwortpin/rights/slot_record.cpp
@@ -35,7 +35,7 @@
 
 slot_id parseSlotKey(std::string_view key, std::error_code &error)
 {
-    error = rights_error::RecordMalformed;
+    error = rights_errc::RecordMalformed;
     const auto slash = key.rfind('/');
     if (!key.starts_with(SlotKeyPrefix) || slash < SlotKeyPrefix.size()) {
         return {};
@@ -63,7 +63,7 @@
         internal::unpackValue(object, record, RecordLimits);
     });
     if (!whole) {
-        error = rights_error::RecordMalformed;
+        error = rights_errc::RecordMalformed;
         return {};
     }
     return record;
--- a/tests/claims/claims_test.cpp
+++ b/tests/claims/claims_test.cpp
@@ -84,7 +84,7 @@
     REQUIRE_FALSE(releaseClaim({}, directCall(store), *first.handle));
     const auto second = claimOnce(store, makeRequest(2));
     CHECK(second.verdict == claim_verdict::Run);
-    CHECK(releaseClaim({}, directCall(store), *first.handle) == claims_error::ClaimLost);
+    CHECK(releaseClaim({}, directCall(store), *first.handle) == claims_errc::ClaimLost);
     CHECK(claimOnce(store, makeRequest(3)).refusal == refusal_kind::DuplicateRunning);
 }
 
@@ -176,7 +176,7 @@
         CAPTURE(value);
         std::error_code error;
         (void)decodeClaimRecord(value, error);
-        CHECK(error == claims_error::RecordMalformed);
+        CHECK(error == claims_errc::RecordMalformed);
         fake_store store;
         const auto key = claimKey("w", "key-1");
         store.entries[key] = {key, value, 7};
--- a/tests/peers/datagram_test.cpp
+++ b/tests/peers/datagram_test.cpp
@@ -38,7 +38,7 @@
     const char *name;
     datagram_secrets accepted;
     microseconds receivedAt;
-    peers_error error;
+    peers_errc error;
 };
 
 } // namespace
@@ -64,27 +64,27 @@
     value.availabilityZone = std::string(MaxDatagramNameBytes, 'z');
     REQUIRE_FALSE(seal(value, Secrets.current).error);
     value.payload = std::string(MaxDatagramBytes, 'x');
-    REQUIRE(seal(value, Secrets.current).error == peers_error::DatagramTooLarge);
+    REQUIRE(seal(value, Secrets.current).error == peers_errc::DatagramTooLarge);
     value.payload.clear();
     value.sender += 'n';
-    REQUIRE(seal(value, Secrets.current).error == peers_error::DatagramTooLarge);
+    REQUIRE(seal(value, Secrets.current).error == peers_errc::DatagramTooLarge);
 }
 
 TEST_CASE("datagram is refused with a typed error")
 {
     const std::vector<refused_case> cases{
-        {"other secret", {"another", ""}, SentAt, peers_error::DatagramForged},
-        {"empty secrets", {"", ""}, SentAt, peers_error::DatagramForged},
-        {"too old", Secrets, SentAt + MaxDatagramAge + seconds{1}, peers_error::DatagramStale},
-        {"from the future", Secrets, SentAt - MaxDatagramAge - seconds{1}, peers_error::DatagramStale},
+        {"other secret", {"another", ""}, SentAt, peers_errc::DatagramForged},
+        {"empty secrets", {"", ""}, SentAt, peers_errc::DatagramForged},
+        {"too old", Secrets, SentAt + MaxDatagramAge + seconds{1}, peers_errc::DatagramStale},
+        {"from the future", Secrets, SentAt - MaxDatagramAge - seconds{1}, peers_errc::DatagramStale},
     };
     const auto sealed = seal(sample("payload"), Secrets.current);
     for (const auto &item : cases) {
         CAPTURE(item.name);
         REQUIRE(open(sealed.bytes, item.accepted, item.receivedAt).error == item.error);
     }
-    REQUIRE(open("", Secrets, SentAt).error == peers_error::DatagramTooShort);
-    REQUIRE(open(std::string(MaxDatagramBytes + 1, 'x'), Secrets, SentAt).error == peers_error::DatagramTooLarge);
+    REQUIRE(open("", Secrets, SentAt).error == peers_errc::DatagramTooShort);
+    REQUIRE(open(std::string(MaxDatagramBytes + 1, 'x'), Secrets, SentAt).error == peers_errc::DatagramTooLarge);
 }
 
 TEST_CASE("datagram changed in any byte is refused")
@@ -94,7 +94,7 @@
         auto changed = sealed.bytes;
         changed[index] = static_cast<char>(changed[index] ^ 1);
         CAPTURE(index);
-        REQUIRE(open(changed, Secrets, SentAt).error == peers_error::DatagramForged);
+        REQUIRE(open(changed, Secrets, SentAt).error == peers_errc::DatagramForged);
     }
 }
 
--- a/tests/rights/messages_test.cpp
+++ b/tests/rights/messages_test.cpp
@@ -51,10 +51,10 @@
 {
     loan_offer longNames;
     longNames.workspaces.assign(MaxRightsMessageItems, std::string(MaxRightsNameBytes, 'w'));
-    CHECK(decodeError(encodeRightsMessage({"node", 1, longNames})) == rights_error::MessageTooLong);
+    CHECK(decodeError(encodeRightsMessage({"node", 1, longNames})) == rights_errc::MessageTooLong);
     loan_offer tooMany;
     tooMany.workspaces.assign(MaxRightsMessageItems + 1, "w");
-    CHECK(decodeError(encodeRightsMessage({"node", 1, tooMany})) == rights_error::MessageMalformed);
+    CHECK(decodeError(encodeRightsMessage({"node", 1, tooMany})) == rights_errc::MessageMalformed);
 }
 
 TEST_CASE("malformed messages give a typed error", "[rights]")
@@ -63,13 +63,13 @@
     const auto infinite = encodeRightsMessage({"node", 1, loan_return{{{"w", 1, std::numeric_limits<double>::infinity(), 0}}}});
     for (const auto &bytes :
          {std::string{}, std::string{"\x94"}, std::string{"\xc0"}, std::string{"\xdd\xff\xff\xff\xff"}, negative, infinite}) {
-        CHECK(decodeError(bytes) == rights_error::MessageMalformed);
+        CHECK(decodeError(bytes) == rights_errc::MessageMalformed);
     }
     for (const auto &body : oneOfEach()) {
         const auto whole = encodeRightsMessage({"node-1", 42, body});
-        CHECK(decodeError(whole + 'x') == rights_error::MessageMalformed);
+        CHECK(decodeError(whole + 'x') == rights_errc::MessageMalformed);
         for (std::size_t size{0}; size < whole.size(); ++size) {
-            CHECK(decodeError(whole.substr(0, size)) == rights_error::MessageMalformed);
+            CHECK(decodeError(whole.substr(0, size)) == rights_errc::MessageMalformed);
         }
     }
 }
@@ -95,6 +95,6 @@
          {"", "ragwortpin/slots/", "ragwortpin/slots/a", "ragwortpin/slots/a/", "ragwortpin/slots/a/1x", "other/a/1"}) {
         CAPTURE(key);
         (void)parseSlotKey(key, error);
-        CHECK(error == rights_error::RecordMalformed);
+        CHECK(error == rights_errc::RecordMalformed);
     }
 }
