--- a/src/bench/ragwortpin_config_bench.cpp
+++ b/src/bench/ragwortpin_config_bench.cpp
@@ -109,7 +109,7 @@
     });
     const auto route = measureLookups([&](std::size_t round) {
         const auto &wanted = value.routes[round % value.routes.size()];
-        return findRoute(*index, "GET", wanted.path + "/item") ? 1U : 0U;
+        return findRoute(*index, "", "GET", wanted.path + "/item") ? 1U : 0U;
     });
     const auto key = measureLookups([&](std::size_t round) {
         return findKey(*index, value.keys[round % value.keys.size()].sha256) != nullptr ? 1U : 0U;
--- a/src/bin/ragwortpinctl.cpp
+++ b/src/bin/ragwortpinctl.cpp
@@ -1,6 +1,6 @@
 #include "ragwortpin/identity/digest.h"
 #include "ragwortpin/operators/commands.h"
-#include "ragwortpin/platform/etcd_client.h"
+#include "ragwortpin/store/client.h"
 
 #include <cerrno>
 #include <cstdlib>
--- a/src/ragwortpin/callers/caller_gateway.cpp
+++ b/src/ragwortpin/callers/caller_gateway.cpp
@@ -4,16 +4,45 @@
 #include "ragwortpin/identity/digest.h"
 #include "ragwortpin/retries/allowance.h"
 
+#include <algorithm>
+#include <charconv>
+
 namespace ragwortpin {
 
 namespace {
 
-constexpr duration OverloadPause{seconds{1}};
+constexpr duration OverloadPause{milliseconds{600}};
+constexpr duration NotReadyPause{milliseconds{500}};
+/** Age of the proof from which on an unknown route or key may be one of a newer configuration. */
+constexpr duration UnknownNamesProofAge{milliseconds{1500}};
+/** Longest time that a caller may state; a longer or malformed one counts as not stated. */
+constexpr long LongestCallerWait{3'600'000};
+
+double drawUnit(std::mt19937_64 &random)
+{
+    return std::uniform_real_distribution<double>{0.0, 1.0}(random);
+}
+
+/** Spreads the return of refused callers over a pause on either side of the given one. */
+duration spreadPause(duration pause, double random)
+{
+    return fromSeconds(toSeconds(pause) * (0.5 + random));
+}
+
+/** Time that the caller waits for its answer; nothing when it does not say so in whole milliseconds. */
+std::optional<duration> readDeadline(const http_request &request, const std::string &name)
+{
+    const auto text = toStd(request[name]);
+    long value{0};
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
+    const bool usable{parsed.ec == std::errc{} && parsed.ptr == text.data() + text.size() && value > 0 && value <= LongestCallerWait};
+    return usable ? std::optional<duration>{milliseconds{value}} : std::nullopt;
+}
 
 /** Method and path, copied out of a request before it is moved on. */
 route_match matchRoute(const configuration_index &index, const http_request &request)
 {
-    return findRoute(index, toStd(request.method_string()), toStd(request.target()));
+    return findRoute(index, toStd(request[http::field::host]), toStd(request.method_string()), toStd(request.target()));
 }
 
 } // namespace
@@ -63,7 +92,7 @@
         hop.result = answer.result;
         m_services.spans(std::move(hop));
     }
-    co_return toCallerResponse(std::move(answer));
+    co_return toCallerResponse(std::move(answer), m_services.headers.fractionalRetryAfter);
 }
 
 void caller_gateway::observeRefusal(refusal_kind kind)
@@ -73,16 +102,18 @@
 
 boost::asio::awaitable<call_answer> caller_gateway::serveCall(http_request request, std::shared_ptr<call_control> control, span &hop)
 {
+    const auto arrived = monotonicNow();
     const auto index = m_services.configuration.load();
     if (!index) {
-        co_return refuse(refusal_kind::NotReady, seconds{1});
+        co_return refuse(refusal_kind::NotReady, NotReadyPause);
     }
+    const auto callerWait = readDeadline(request, m_services.headers.deadline);
     removeInternalFields(request);
     removeHopByHopFields(request);
     const auto key = extractApiKey(request);
     const auto match = matchRoute(*index, request);
     if (!match) {
-        co_return refuse(refusal_kind::UnknownRoute);
+        co_return refuse(*judgeProof({}, refusal_kind::UnknownRoute), NotReadyPause);
     }
     const auto &definition = match.definition();
     hop.route = definition.name;
@@ -90,40 +121,67 @@
         co_return refuse(refusal_kind::MalformedRequest);
     }
     const auto identity = authenticate(*index, definition, key.secret);
-    if (identity.refusal) {
-        co_return refuse(*identity.refusal);
+    if (const auto refusal = judgeProof(identity, identity.refusal)) {
+        co_return refuse(*refusal, NotReadyPause);
     }
     hop.workspace = identity.workspace;
     if (definition.once && !isValidIdempotencyKey(toStd(request["Idempotency-Key"]))) {
         co_return refuse(refusal_kind::IdempotencyKeyMissing);
     }
+    const duration limit{std::min<duration>(definition.deadline, callerWait.value_or(duration::max()))};
+    const bool fromTarget{definition.open && identity.workspace.empty()};
     inbound_call call{.request = std::move(request),
                       .context = {.workspace = identity.workspace,
                                   .route = definition.name,
-                                  .rank = match.rank(),
-                                  .depth = 0,
+                                  .service = chooseService(m_splits, definition, drawUnit(m_random)),
+                                  .callerService = m_services.ownService ? m_services.ownService() : std::string{},
+                                  .rank = rankOf(*index, *match.found, identity.workspace),
+                                  .depth = fromTarget ? 1U : 0U,
                                   .retryAllowance = DefaultRetryAllowance,
                                   .admitProbability = 1.0,
-                                  .remaining = definition.deadline,
+                                  .remaining = limit,
                                   .trace = hop.trace},
                       .definition = definition,
-                      .deadline = monotonicNow() + definition.deadline,
+                      .deadline = arrived + limit,
                       .control = std::move(control)};
+    call.definition.service = call.context.service;
+    co_return co_await admitAndRun(std::move(call));
+}
+
+boost::asio::awaitable<call_answer> caller_gateway::admitAndRun(inbound_call call)
+{
     if (!m_services.calls.admitNewCall(call)) {
-        co_return refuse(refusal_kind::Overloaded, OverloadPause);
+        co_return refuse(refusal_kind::Overloaded, spreadPause(OverloadPause, drawUnit(m_random)));
     }
-    if (!identity.workspace.empty()) {
-        const auto token = co_await m_services.takeToken(identity.workspace, call.control);
+    if (!call.context.workspace.empty()) {
+        const auto token = co_await m_services.takeToken(call.context.workspace, call.control);
         if (!token.admitted) {
             co_return refuse(refusal_kind::RateExceeded, token.retryAfter);
         }
     }
-    if (definition.once) {
+    if (call.definition.once) {
         co_return co_await m_services.runOnce(std::move(call));
     }
     co_return co_await m_services.calls.dispatch(std::move(call));
 }
 
+/**
+ * Where the proof that the configuration is the newest is too old, keys are not accepted, and what the configuration does not
+ * know may be in a newer one.
+ */
+std::optional<refusal_kind> caller_gateway::judgeProof(const authentication &identity, std::optional<refusal_kind> refusal) const
+{
+    const auto age = m_services.proofAge ? m_services.proofAge() : std::nullopt;
+    if (!age) {
+        return refusal;
+    }
+    if (refusal) {
+        return *age > UnknownNamesProofAge ? refusal_kind::NotReady : refusal;
+    }
+    const bool expired{!identity.workspace.empty() && *age > m_services.longestProofAge};
+    return expired ? std::optional{refusal_kind::NotReady} : std::nullopt;
+}
+
 call_answer caller_gateway::refuse(refusal_kind kind, duration retryAfter)
 {
     return refuseCall(kind, outcome::NotRun, 0, retryAfter);
--- a/src/ragwortpin/callers/caller_gateway.h
+++ b/src/ragwortpin/callers/caller_gateway.h
@@ -2,10 +2,12 @@
 #define RAGWORTPIN_CALLERS_CALLER_GATEWAY_H
 
 #include "ragwortpin/callers/fwd.h"
+#include "ragwortpin/callers/split.h"
 #include "ragwortpin/config/lookup.h"
 #include "ragwortpin/dispatch/call.h"
 #include "ragwortpin/dispatch/dispatcher.h"
 #include "ragwortpin/http/call_control.h"
+#include "ragwortpin/http/header_names.h"
 #include "ragwortpin/http/message.h"
 #include "ragwortpin/runtime/metrics.h"
 #include "ragwortpin/runtime/snapshot.h"
@@ -58,6 +60,13 @@
     rate_limiter takeToken;
     once_runner runOnce;
     span_sink spans;
+    header_names headers;
+    /** Age of the proof that the configuration in force is the newest; nothing where no proof is asked for. */
+    std::function<std::optional<duration>()> proofAge;
+    /** Age from which on keys are not accepted any more. */
+    duration longestProofAge{duration::max()};
+    /** Service of the target beside this node. */
+    std::function<std::string()> ownService;
 };
 
 /**
@@ -77,12 +86,15 @@
 
 private:
     [[nodiscard]] boost::asio::awaitable<call_answer> serveCall(http_request request, std::shared_ptr<call_control> control, span &hop);
+    [[nodiscard]] boost::asio::awaitable<call_answer> admitAndRun(inbound_call call);
     [[nodiscard]] call_answer refuse(refusal_kind kind, duration retryAfter = duration::zero());
+    [[nodiscard]] std::optional<refusal_kind> judgeProof(const authentication &identity, std::optional<refusal_kind> refusal) const;
     [[nodiscard]] trace_context startTrace(const http_request &request, std::string &parentSpanId);
 
     caller_services m_services;
     double m_sampleRatio;
     std::mt19937_64 m_random;
+    split_state m_splits;
     std::array<counter *, RefusalDescriptions.size()> m_refusals;
     counter &m_requests;
     distribution &m_latency;
--- a/src/ragwortpin/callers/fwd.h
+++ b/src/ragwortpin/callers/fwd.h
@@ -4,6 +4,8 @@
 namespace ragwortpin {
 
 struct authentication;
+struct split_credit;
+struct split_state;
 class caller_gateway;
 
 } // namespace ragwortpin
--- a/src/ragwortpin/claims/claims.h
+++ b/src/ragwortpin/claims/claims.h
@@ -6,7 +6,7 @@
 #include "ragwortpin/claims/record.h"
 #include "ragwortpin/core/outcome.h"
 #include "ragwortpin/core/time.h"
-#include "ragwortpin/platform/store.h"
+#include "ragwortpin/store/store.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/src/ragwortpin/config/check.cpp
+++ b/src/ragwortpin/config/check.cpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <sstream>
 #include <string_view>
+#include <tuple>
 #include <utility>
 
 namespace ragwortpin {
@@ -25,6 +26,14 @@
     return (character >= 'a' && character <= 'z') || (character >= '0' && character <= '9');
 }
 
+/** Whether a text may be the host of a route; the empty one stands for every host. */
+bool isHost(std::string_view text) noexcept
+{
+    return text.size() <= limits::HostLength && std::all_of(text.begin(), text.end(), [](char character) {
+               return isNameStart(character) || character == '-' || character == '.';
+           });
+}
+
 bool isDigest(std::string_view text) noexcept
 {
     return text.size() == DigestLength && std::all_of(text.begin(), text.end(), [](char character) {
@@ -226,6 +235,9 @@
             checkNumber(where, "rate", item.rate, limits::Rate);
             checkNumber(where, "burst", item.burst, limits::Burst);
             checkNumber(where, "weight", item.weight, limits::Weight);
+            if (!item.importance.empty()) {
+                checkReference(where, "importance", item.importance, m_importanceNames);
+            }
         }
     }
 
@@ -264,27 +276,51 @@
 
     void checkRoutes()
     {
-        std::map<std::pair<std::string, std::string>, std::size_t> seen;
+        std::map<std::tuple<std::string, std::string, std::string>, std::size_t> seen;
         for (std::size_t index{0}; index < m_value.routes.size(); ++index) {
             const auto &item = m_value.routes[index];
             const place where{object_kind::Route, index, item.name};
-            checkReference(where, "service", item.service, m_serviceNames);
+            checkServicesOf(where, item);
             checkReference(where, "importance", item.importance, m_importanceNames);
             checkMatch(where, item);
             checkRules(where, item);
-            const auto [other, isNew] = seen.emplace(std::pair{item.path, item.method}, index);
+            const auto [other, isNew] = seen.emplace(std::tuple{item.host, item.path, item.method}, index);
             if (!isNew) {
                 const place earlier{object_kind::Route, other->second, m_value.routes[other->second].name};
                 report(where,
                        "path",
-                       "matches the same method and path as " + describePlace(earlier),
-                       "change the method or the path, or remove one of the two");
+                       "matches the same host, method and path as " + describePlace(earlier),
+                       "change the host, the method or the path, or remove one of the two");
             }
         }
     }
 
+    void checkServicesOf(const place &where, const route &item)
+    {
+        if (item.split.empty()) {
+            checkReference(where, "service", item.service, m_serviceNames);
+            return;
+        }
+        if (!item.service.empty()) {
+            report(where, "service", "has both a service and a split", "remove one of the two");
+        }
+        if (item.split.size() > limits::SplitParts) {
+            report(where, "split", "has too many parts", "use at most " + std::to_string(limits::SplitParts));
+        }
+        for (const auto &part : item.split) {
+            checkReference(where, "split", part.service, m_serviceNames);
+            checkNumber(where, "split", part.weight, limits::Weight);
+        }
+    }
+
     void checkMatch(const place &where, const route &item)
     {
+        if (!isHost(item.host)) {
+            report(where,
+                   "host",
+                   "host " + quoted(item.host) + " is not acceptable",
+                   "use lower-case letters, digits, '-' and '.', without a port, or leave it out to match every host");
+        }
         if (!item.method.empty() && std::find(Methods.begin(), Methods.end(), item.method) == Methods.end()) {
             report(where,
                    "method",
@@ -319,6 +355,12 @@
                    "is open and has the importance that is shed last",
                    "give it another importance; callers without a key would displace purchases of workspaces");
         }
+        if (item.attempts < limits::Attempts.least || item.attempts > limits::Attempts.most) {
+            report(where,
+                   "attempts",
+                   "attempts is " + std::to_string(item.attempts),
+                   "use a number from " + std::to_string(limits::Attempts.least) + " to " + std::to_string(limits::Attempts.most));
+        }
         if (item.deadline < limits::Deadline.least || item.deadline > limits::Deadline.most) {
             report(where,
                    "deadline_ms",
--- a/src/ragwortpin/config/limits.h
+++ b/src/ragwortpin/config/limits.h
@@ -25,6 +25,16 @@
 inline constexpr integer_range Rank{0, 1000};
 /** Time for a whole request. */
 inline constexpr milliseconds_range Deadline{milliseconds{10}, milliseconds{600'000}};
+/** Connections that a target of a service accepts; 0 stands for what the target announces. */
+inline constexpr integer_range Connections{0, 100'000};
+/** Targets that one request may be sent to. */
+inline constexpr integer_range Attempts{1, 10};
+/** Time within which an answer has its full use; 0 when it is not stated. */
+inline constexpr milliseconds_range LatencyObjective{milliseconds{0}, milliseconds{600'000}};
+/** Longest host of a route, in bytes. */
+inline constexpr std::size_t HostLength{253};
+/** Services that may share the requests of a route. */
+inline constexpr std::size_t SplitParts{16};
 /** Deviation allowed between the sum of the shares and 1. */
 inline constexpr double ShareTolerance{1e-6};
 /** Largest encoded configuration, in bytes; the store holds values up to a megabyte. */
--- a/src/ragwortpin/config/lookup.cpp
+++ b/src/ragwortpin/config/lookup.cpp
@@ -4,6 +4,7 @@
 #include "ragwortpin/identity/digest.h"
 
 #include <algorithm>
+#include <cctype>
 #include <utility>
 
 namespace ragwortpin {
@@ -26,16 +27,27 @@
     return positions;
 }
 
+bool hasKnownServices(const configuration_index &index, const route &item)
+{
+    if (item.split.empty()) {
+        return index.servicesByName.contains(item.service);
+    }
+    return std::all_of(item.split.begin(), item.split.end(), [&index](const weighted_service &part) {
+        return index.servicesByName.contains(part.service);
+    });
+}
+
 void indexRoutes(configuration_index &index)
 {
     for (const auto &item : index.value.routes) {
         const auto rank = index.ranksByName.find(item.importance);
-        if (rank == index.ranksByName.end() || !index.servicesByName.contains(item.service)) {
+        if (rank == index.ranksByName.end() || !hasKnownServices(index, item)) {
             continue;
         }
-        index.routesByPath[item.path].push_back(index.routes.size());
+        auto &routes = index.routesByHost[item.host];
+        routes.byPath[item.path].push_back(index.routes.size());
+        routes.deepestPath = std::max(routes.deepestPath, segmentCount(item.path));
         index.routes.push_back({item, rank->second});
-        index.deepestPath = std::max(index.deepestPath, segmentCount(item.path));
     }
 }
 
@@ -52,14 +64,28 @@
     });
 }
 
+/** A request's target as routes are matched with it. */
+struct match_target
+{
+    std::string_view method;
+    /** Path without query. */
+    std::string_view path;
+};
+
 /** Chooses among routes of equal path. */
-const indexed_route *
-chooseByMethod(const configuration_index &index, const std::vector<std::size_t> &positions, std::string_view method) noexcept
+const indexed_route *chooseByMethod(const configuration_index &index,
+                                    const std::vector<std::size_t> &positions,
+                                    std::string_view prefix,
+                                    const match_target &target) noexcept
 {
+    const bool isBelow{target.path.size() > prefix.size() || prefix == "/"};
     const indexed_route *anyMethod{nullptr};
     for (const auto position : positions) {
         const auto &candidate = index.routes[position];
-        if (candidate.definition.method == method) {
+        if (candidate.definition.belowOnly && !isBelow) {
+            continue;
+        }
+        if (candidate.definition.method == target.method) {
             return &candidate;
         }
         if (candidate.definition.method.empty()) {
@@ -69,10 +95,30 @@
     return anyMethod;
 }
 
-const indexed_route *findByPath(const configuration_index &index, std::string_view method, std::string_view path) noexcept
+const indexed_route *
+findByPath(const configuration_index &index, const host_routes &routes, std::string_view prefix, const match_target &target) noexcept
 {
-    const auto positions = index.routesByPath.find(path);
-    return positions == index.routesByPath.end() ? nullptr : chooseByMethod(index, positions->second, method);
+    const auto positions = routes.byPath.find(prefix);
+    return positions == routes.byPath.end() ? nullptr : chooseByMethod(index, positions->second, prefix, target);
+}
+
+/** Lower-case name of a Host field, without its port. */
+std::string hostName(std::string_view field)
+{
+    std::string name{field.substr(0, field.find(':'))};
+    std::transform(name.begin(), name.end(), name.begin(), [](unsigned char character) {
+        return static_cast<char>(std::tolower(character));
+    });
+    return name;
+}
+
+const host_routes *findHost(const configuration_index &index, std::string_view host)
+{
+    auto found = index.routesByHost.find(hostName(host));
+    if (found == index.routesByHost.end()) {
+        found = index.routesByHost.find(std::string_view{});
+    }
+    return found == index.routesByHost.end() ? nullptr : &found->second;
 }
 
 /** Cuts a path to its first segments, at most the given number, without a '/' at the end. */
@@ -110,20 +156,30 @@
     return index;
 }
 
-route_match findRoute(const configuration_index &index, std::string_view method, std::string_view path) noexcept
+route_match findRoute(const configuration_index &index, std::string_view host, std::string_view method, std::string_view path)
 {
-    const auto target = path.substr(0, path.find('?'));
-    if (!isCanonicalPath(target)) {
+    const internal::match_target target{method, path.substr(0, path.find('?'))};
+    const auto *routes = internal::findHost(index, host);
+    if (routes == nullptr || !isCanonicalPath(target.path)) {
         return {};
     }
-    auto prefix = internal::truncatePath(target, index.deepestPath);
+    auto prefix = internal::truncatePath(target.path, routes->deepestPath);
     while (!prefix.empty()) {
-        if (const auto *found = internal::findByPath(index, method, prefix)) {
+        if (const auto *found = internal::findByPath(index, *routes, prefix, target)) {
             return {found};
         }
         prefix = prefix.substr(0, prefix.rfind('/'));
     }
-    return {internal::findByPath(index, method, "/")};
+    return {internal::findByPath(index, *routes, "/", target)};
+}
+
+unsigned rankOf(const configuration_index &index, const indexed_route &route, std::string_view workspace) noexcept
+{
+    const auto *found = workspace.empty() ? nullptr : findWorkspace(index, workspace);
+    if (found == nullptr || found->importance.empty()) {
+        return route.rank;
+    }
+    return findRank(index, found->importance).value_or(route.rank);
 }
 
 const indexed_key *findKey(const configuration_index &index, std::string_view digest) noexcept
--- a/src/ragwortpin/config/lookup.h
+++ b/src/ragwortpin/config/lookup.h
@@ -37,6 +37,15 @@
     bool operator==(const indexed_key &) const = default;
 };
 
+/** Routes of one host. */
+struct host_routes
+{
+    /** Positions in configuration_index::routes, by path. */
+    string_table<std::vector<std::size_t>> byPath;
+    /** Most segments of any route's path. */
+    std::size_t deepestPath{0};
+};
+
 /**
  * Tables for the data path, built once for each revision and shared between threads as an immutable snapshot. Pointers
  * returned by the lookups below live as long as the index.
@@ -46,10 +55,8 @@
     configuration value;
     /** In the order of value.routes. */
     std::vector<indexed_route> routes;
-    /** Positions in routes, by path. */
-    string_table<std::vector<std::size_t>> routesByPath;
-    /** Most segments of any route's path. */
-    std::size_t deepestPath{0};
+    /** Routes by host; those for every host stand under the empty name. */
+    string_table<host_routes> routesByHost;
     /** Sorted by digest. */
     std::vector<indexed_key> keys;
     string_table<std::size_t> workspacesByName;
@@ -86,9 +93,14 @@
 
 /**
  * Finds the route of a request: the longest matching path prefix at a segment boundary; for equal paths one with the
- * method precedes one for every method. A query is passed over. Paths that are not canonical match nothing.
+ * method precedes one for every method. Routes for every host are searched only where no route names the host. The case and
+ * the port of the host and the query of the path are passed over. Paths that are not canonical match nothing.
  */
-[[nodiscard]] route_match findRoute(const configuration_index &index, std::string_view method, std::string_view path) noexcept;
+[[nodiscard]] route_match
+findRoute(const configuration_index &index, std::string_view host, std::string_view method, std::string_view path);
+
+/** Returns the rank of requests of a workspace on a route: that of the workspace's importance, if it has one, else the route's. */
+[[nodiscard]] unsigned rankOf(const configuration_index &index, const indexed_route &route, std::string_view workspace) noexcept;
 
 /** Finds a key by the digest of the secret that was shown, as sha256Hex() gives it; nothing when it is unknown or withdrawn. */
 [[nodiscard]] const indexed_key *findKey(const configuration_index &index, std::string_view digest) noexcept;
--- a/src/ragwortpin/config/model.h
+++ b/src/ragwortpin/config/model.h
@@ -20,6 +20,8 @@
     double burst{0.0};
     /** Share of a contended target relative to other workspaces of the same importance. */
     double weight{1.0};
+    /** Name of the importance of its requests, in place of their routes'; empty leaves the routes' in force. */
+    std::string importance{};
 
     bool operator==(const workspace &) const = default;
 };
@@ -52,11 +54,26 @@
     std::string name;
     /** Retries allowed towards the service, as a fraction of first attempts. */
     double retryRatio{0.1};
+    /** Connections that each of its targets accepts; 0 leaves it to what the target announces. */
+    std::uint32_t connections{0};
 
     bool operator==(const service &) const = default;
 };
 
-/** Maps requests to a service. The route with the longest matching path prefix is chosen; one with a method precedes one without. */
+/** Part of a route's requests that goes to one service. */
+struct weighted_service
+{
+    std::string service;
+    /** Share of the requests relative to the other parts. */
+    double weight{1.0};
+
+    bool operator==(const weighted_service &) const = default;
+};
+
+/**
+ * Maps requests to a service. Among the routes of the request's host, or those for every host where it has none, the one with
+ * the longest matching path prefix is chosen; one with a method precedes one without.
+ */
 struct route
 {
     std::string name;
@@ -64,7 +81,7 @@
     std::string method;
     /** Path prefix, matched at segment boundaries. */
     std::string path;
-    /** Name of the service that answers. */
+    /** Name of the service that answers; empty for a route with a split. */
     std::string service;
     /** Name of the importance of its requests. */
     std::string importance;
@@ -76,6 +93,16 @@
     bool retryable{false};
     /** Longest time for the whole request. */
     milliseconds deadline{1000};
+    /** Host that the route belongs to, in lower case and without a port; empty matches hosts that no other route names. */
+    std::string host{};
+    /** Whether only paths below the prefix match, and not the prefix itself. */
+    bool belowOnly{false};
+    /** Services that share the requests; empty for a route with one service. */
+    std::vector<weighted_service> split{};
+    /** Most targets that one request may be sent to. */
+    unsigned attempts{2};
+    /** Time within which an answer has its full use to callers; 0 when it is not stated. */
+    milliseconds latencyObjective{0};
 
     bool operator==(const route &) const = default;
 };
--- a/src/ragwortpin/config/msgpack_fields.h
+++ b/src/ragwortpin/config/msgpack_fields.h
@@ -40,12 +40,19 @@
     { }
 };
 
+/** Packs fields one after the other, within an array that was begun. */
+template<typename... Fields>
+void packEach(packer &output, const Fields &...fields)
+{
+    (output.pack(fields), ...);
+}
+
 /** Packs fields as one array. */
 template<typename... Fields>
 void packFields(packer &output, const Fields &...fields)
 {
     output.pack_array(sizeof...(Fields));
-    (output.pack(fields), ...);
+    packEach(output, fields...);
 }
 
 /** Reads the fields of one array in order. Further fields, of a later release, are passed over. */
@@ -73,6 +80,12 @@
         return m_array.via.array.size;
     }
 
+    /** Whether fields are left; encodings of earlier releases end sooner. */
+    [[nodiscard]] bool hasMore() const noexcept
+    {
+        return m_position < m_array.via.array.size;
+    }
+
     template<typename Value>
     void read(Value &value)
     {
--- a/src/ragwortpin/config/parse.cpp
+++ b/src/ragwortpin/config/parse.cpp
@@ -21,6 +21,7 @@
         .rate = reader.readNumber("rate", limits::Rate),
         .burst = reader.readNumber("burst", limits::Burst),
         .weight = reader.readNumber("weight", limits::Weight, defaults.weight),
+        .importance = reader.readString("importance", defaults.importance),
     };
 }
 
@@ -46,21 +47,37 @@
     return {
         .name = reader.readString("name"),
         .retryRatio = reader.readNumber("retry_ratio", limits::RetryRatio, defaults.retryRatio),
+        .connections = static_cast<std::uint32_t>(reader.readInteger("connections", limits::Connections, defaults.connections)),
     };
 }
 
+std::vector<weighted_service> readSplit(yaml_reader &reader)
+{
+    std::vector<weighted_service> split;
+    for (auto &part : reader.readMappings("split", "part")) {
+        split.push_back({part.readString("service"), part.readNumber("weight", limits::Weight, weighted_service{}.weight)});
+        part.finish();
+    }
+    return split;
+}
+
 route readObject(yaml_reader &reader, const route &defaults)
 {
     return {
         .name = reader.readString("name"),
         .method = reader.readString("method", defaults.method),
         .path = reader.readString("path"),
-        .service = reader.readString("service"),
+        .service = reader.has("split") ? reader.readString("service", defaults.service) : reader.readString("service"),
         .importance = reader.readString("importance"),
         .open = reader.readBool("open", defaults.open),
         .once = reader.readBool("once", defaults.once),
         .retryable = reader.readBool("retryable", defaults.retryable),
         .deadline = reader.readMilliseconds("deadline_ms", limits::Deadline, defaults.deadline),
+        .host = reader.readString("host", defaults.host),
+        .belowOnly = reader.readBool("below_only", defaults.belowOnly),
+        .split = readSplit(reader),
+        .attempts = static_cast<unsigned>(reader.readInteger("attempts", limits::Attempts, defaults.attempts)),
+        .latencyObjective = reader.readMilliseconds("latency_objective_ms", limits::LatencyObjective, defaults.latencyObjective),
     };
 }
 
@@ -89,6 +106,11 @@
                                                             "open",
                                                             "once",
                                                             "deadline_ms",
+                                                            "connections",
+                                                            "host",
+                                                            "split",
+                                                            "attempts",
+                                                            "latency_objective_ms",
                                                             "region",
                                                             "share"};
 
--- a/src/ragwortpin/config/publication.cpp
+++ b/src/ragwortpin/config/publication.cpp
@@ -3,7 +3,7 @@
 #include "ragwortpin/config/check.h"
 #include "ragwortpin/config/error.h"
 #include "ragwortpin/config/serialise.h"
-#include "ragwortpin/platform/error.h"
+#include "ragwortpin/store/error.h"
 
 #include <algorithm>
 #include <array>
--- a/src/ragwortpin/config/publication.h
+++ b/src/ragwortpin/config/publication.h
@@ -4,7 +4,7 @@
 #include "ragwortpin/config/diff.h"
 #include "ragwortpin/config/problem.h"
 #include "ragwortpin/config/publication_record.h"
-#include "ragwortpin/platform/store.h"
+#include "ragwortpin/store/store.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/src/ragwortpin/config/serialise.cpp
+++ b/src/ragwortpin/config/serialise.cpp
@@ -23,7 +23,7 @@
 
 void packObject(packer &output, const workspace &item)
 {
-    packFields(output, item.name, item.rate, item.burst, item.weight);
+    packFields(output, item.name, item.rate, item.burst, item.weight, item.importance);
 }
 
 void packObject(packer &output, const api_key &item)
@@ -33,12 +33,19 @@
 
 void packObject(packer &output, const service &item)
 {
-    packFields(output, item.name, item.retryRatio);
+    packFields(output, item.name, item.retryRatio, item.connections);
+}
+
+void packObject(packer &output, const weighted_service &item)
+{
+    packFields(output, item.service, item.weight);
 }
 
 void packObject(packer &output, const route &item)
 {
-    packFields(output,
+    constexpr std::uint32_t Fields{14};
+    output.pack_array(Fields);
+    packEach(output,
                item.name,
                item.method,
                item.path,
@@ -47,7 +54,15 @@
                item.open,
                item.once,
                item.retryable,
-               static_cast<std::int64_t>(item.deadline.count()));
+               static_cast<std::int64_t>(item.deadline.count()),
+               item.host,
+               item.belowOnly,
+               item.attempts,
+               static_cast<std::int64_t>(item.latencyObjective.count()));
+    output.pack_array(static_cast<std::uint32_t>(item.split.size()));
+    for (const auto &part : item.split) {
+        packObject(output, part);
+    }
 }
 
 void unpackObject(field_cursor &input, availability_zone &item)
@@ -69,6 +84,9 @@
     input.read(item.rate);
     input.read(item.burst);
     input.read(item.weight);
+    if (input.hasMore()) {
+        input.read(item.importance);
+    }
 }
 
 void unpackObject(field_cursor &input, api_key &item)
@@ -82,6 +100,15 @@
 {
     input.read(item.name);
     input.read(item.retryRatio);
+    if (input.hasMore()) {
+        input.read(item.connections);
+    }
+}
+
+void unpackObject(field_cursor &input, weighted_service &item)
+{
+    input.read(item.service);
+    input.read(item.weight);
 }
 
 void unpackObject(field_cursor &input, route &item)
@@ -97,6 +124,21 @@
     input.read(item.retryable);
     input.read(deadline);
     item.deadline = milliseconds{deadline};
+    if (!input.hasMore()) {
+        return;
+    }
+    std::int64_t objective{0};
+    input.read(item.host);
+    input.read(item.belowOnly);
+    input.read(item.attempts);
+    input.read(objective);
+    item.latencyObjective = milliseconds{objective};
+    field_cursor parts{input.next()};
+    item.split.resize(parts.size());
+    for (auto &part : item.split) {
+        field_cursor fields{parts.next()};
+        unpackObject(fields, part);
+    }
 }
 
 void packObjects(packer &output, const configuration &value)
--- a/src/ragwortpin/config/yaml_writer.cpp
+++ b/src/ragwortpin/config/yaml_writer.cpp
@@ -50,6 +50,7 @@
     writeField(output, "rate", numberText(item.rate));
     writeField(output, "burst", numberText(item.burst));
     writeOptional(output, "weight", numberText(item.weight), numberText(workspace{}.weight));
+    writeOptional(output, "importance", item.importance, workspace{}.importance);
 }
 
 void writeFields(YAML::Emitter &output, const api_key &item)
@@ -61,19 +62,39 @@
 void writeFields(YAML::Emitter &output, const service &item)
 {
     writeOptional(output, "retry_ratio", numberText(item.retryRatio), numberText(service{}.retryRatio));
+    writeOptional(output, "connections", item.connections, service{}.connections);
+}
+
+void writeSplit(YAML::Emitter &output, const std::vector<weighted_service> &split)
+{
+    output << YAML::Key << "split" << YAML::Value << YAML::BeginSeq;
+    for (const auto &part : split) {
+        output << YAML::BeginMap;
+        writeField(output, "service", part.service);
+        writeField(output, "weight", numberText(part.weight));
+        output << YAML::EndMap;
+    }
+    output << YAML::EndSeq;
 }
 
 void writeFields(YAML::Emitter &output, const route &item)
 {
     const route defaults;
     writeOptional(output, "method", item.method, defaults.method);
+    writeOptional(output, "host", item.host, defaults.host);
     writeField(output, "path", item.path);
-    writeField(output, "service", item.service);
+    writeOptional(output, "below_only", item.belowOnly, defaults.belowOnly);
+    writeOptional(output, "service", item.service, defaults.service);
+    if (!item.split.empty()) {
+        writeSplit(output, item.split);
+    }
     writeField(output, "importance", item.importance);
     writeOptional(output, "open", item.open, defaults.open);
     writeOptional(output, "once", item.once, defaults.once);
     writeOptional(output, "retryable", item.retryable, defaults.retryable);
     writeField(output, "deadline_ms", item.deadline.count());
+    writeOptional(output, "attempts", item.attempts, defaults.attempts);
+    writeOptional(output, "latency_objective_ms", item.latencyObjective.count(), defaults.latencyObjective.count());
 }
 
 } // namespace internal
--- a/src/ragwortpin/core/time.h
+++ b/src/ragwortpin/core/time.h
@@ -1,6 +1,8 @@
 #ifndef RAGWORTPIN_CORE_TIME_H
 #define RAGWORTPIN_CORE_TIME_H
 
+#include <time.h>
+
 #include <chrono>
 #include <cstdint>
 
@@ -28,10 +30,15 @@
 /** Instant of the monotonic clock of one process; never compared between processes. */
 using time_point = monotonic_clock::time_point;
 
-/** Reads the steady clock of this process. */
+/**
+ * Reads the clock that counts from the machine's start, the time that it was suspended included. Leases, proofs and deadlines
+ * run on while a machine sleeps.
+ */
 [[nodiscard]] inline time_point monotonicNow() noexcept
 {
-    return time_point{std::chrono::duration_cast<duration>(std::chrono::steady_clock::now().time_since_epoch())};
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return time_point{seconds{now.tv_sec} + std::chrono::duration_cast<duration>(std::chrono::nanoseconds{now.tv_nsec})};
 }
 
 /** Reads the wall clock, in microseconds since the Unix epoch. Used for spans and short-lived signatures only. */
--- /dev/null
+++ b/src/ragwortpin/digest/digest.cpp
@@ -0,0 +1,189 @@
+#include "ragwortpin/digest/digest.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace ragwortpin {
+
+namespace internal {
+
+namespace {
+
+/** Nodes of each availability zone in the order of their names, the own node included. */
+using zone_members = std::map<std::string, std::vector<const instance_record *>, std::less<>>;
+
+[[nodiscard]] zone_members groupByZone(const membership_view &members)
+{
+    zone_members zones;
+    for (const auto &record : members.instances) {
+        zones[record.availabilityZone].push_back(&record);
+    }
+    return zones;
+}
+
+/** Moves on from a relay that is silent, and back to the first node after a time. */
+void updateRelay(zone_relay &relay, std::size_t nodes, bool isSelf, const digest_options &options, time_point now)
+{
+    if (relay.position >= nodes) {
+        relay = {0, now, now};
+    }
+    if (isSelf && relay.position == 0) {
+        relay.trustedSince = now;
+        return;
+    }
+    if (!isSelf && now - relay.trustedSince > options.relayTimeout) {
+        relay.position = (relay.position + 1) % nodes;
+        relay.trustedSince = now;
+        relay.movedAt = now;
+    } else if (relay.position > 0 && now - relay.movedAt > options.relayReturn) {
+        relay = {0, now, now};
+    }
+}
+
+[[nodiscard]] const instance_record *
+relayOf(digest_state &state, const std::string &zone, const std::vector<const instance_record *> &nodes, time_point now)
+{
+    const auto [entry, added] = state.relays.try_emplace(zone, zone_relay{0, now, now});
+    auto &relay = entry->second;
+    const auto position = std::min(relay.position, nodes.size() - 1);
+    updateRelay(relay, nodes.size(), nodes[position]->name == state.instance, state.options, now);
+    return nodes[relay.position];
+}
+
+void appendMessages(std::vector<digest_output> &outputs, const instance_record &to, const std::vector<const node_digest *> &digests)
+{
+    std::size_t position{0};
+    while (position < digests.size()) {
+        auto payload = encodeDigests(digests, position);
+        outputs.push_back({to, std::move(payload)});
+    }
+}
+
+/** Digests that came since the last round, of the own zone or of all. */
+[[nodiscard]] std::vector<const node_digest *> freshDigests(const digest_state &state, bool ownZoneOnly)
+{
+    std::vector<const node_digest *> digests;
+    for (const auto &[name, entry] : state.entries) {
+        const bool wanted{!ownZoneOnly || entry.digest.availabilityZone == state.availabilityZone};
+        if (!entry.isForwarded && wanted) {
+            digests.push_back(&entry.digest);
+        }
+    }
+    return digests;
+}
+
+/** What a relay sends: its zone to the other zones, everything to its zone. */
+[[nodiscard]] std::vector<digest_output>
+relayRound(digest_state &state, const node_digest &own, const zone_members &zones, time_point now)
+{
+    std::vector<digest_output> outputs;
+    auto zoneDigests = freshDigests(state, true);
+    zoneDigests.push_back(&own);
+    auto allDigests = freshDigests(state, false);
+    allDigests.push_back(&own);
+    for (const auto &[zone, nodes] : zones) {
+        if (zone != state.availabilityZone) {
+            appendMessages(outputs, *relayOf(state, zone, nodes, now), zoneDigests);
+            continue;
+        }
+        for (const auto *node : nodes) {
+            if (node->name != state.instance) {
+                appendMessages(outputs, *node, allDigests);
+            }
+        }
+    }
+    for (auto &[name, entry] : state.entries) {
+        entry.isForwarded = true;
+    }
+    return outputs;
+}
+
+/** Notes that a node acts as relay of its zone. */
+void noteRelay(digest_state &state, std::string_view sender, const membership_view &members, time_point now)
+{
+    const auto zones = groupByZone(members);
+    for (const auto &[zone, nodes] : zones) {
+        const auto found = std::find_if(nodes.begin(), nodes.end(), [sender](const instance_record *record) {
+            return record->name == sender;
+        });
+        if (found == nodes.end()) {
+            continue;
+        }
+        const auto position = static_cast<std::size_t>(found - nodes.begin());
+        auto &relay = state.relays.try_emplace(zone, zone_relay{position, now, now}).first->second;
+        if (position < relay.position) {
+            relay.position = position;
+            relay.movedAt = now;
+        }
+        if (position == relay.position) {
+            relay.trustedSince = now;
+        }
+        return;
+    }
+}
+
+} // namespace
+
+} // namespace internal
+
+digest_state startDigests(const digest_options &options, std::string instance, std::string availabilityZone)
+{
+    digest_state state;
+    state.options = options;
+    state.instance = std::move(instance);
+    state.availabilityZone = std::move(availabilityZone);
+    return state;
+}
+
+std::vector<digest_output>
+tickDigests(digest_state &state, const node_digest &own, const membership_view &members, time_point now)
+{
+    std::erase_if(state.entries, [&](const auto &entry) {
+        return now - entry.second.heardAt > state.options.lifetime;
+    });
+    const auto zones = internal::groupByZone(members);
+    const auto ownZone = zones.find(state.availabilityZone);
+    if (ownZone == zones.end()) {
+        return {};
+    }
+    const auto *relay = internal::relayOf(state, ownZone->first, ownZone->second, now);
+    if (relay->name == state.instance) {
+        return internal::relayRound(state, own, zones, now);
+    }
+    std::vector<digest_output> outputs;
+    internal::appendMessages(outputs, *relay, {&own});
+    return outputs;
+}
+
+std::optional<std::vector<node_digest>> receiveDigests(
+    digest_state &state, std::string_view sender, const membership_view &members, std::string_view payload, time_point now)
+{
+    auto digests = decodeDigests(payload);
+    if (!digests) {
+        return std::nullopt;
+    }
+    const bool carriesOthers{digests->size() > 1 || (digests->size() == 1 && digests->front().usage.instance != sender)};
+    const auto known = std::find_if(members.instances.begin(), members.instances.end(), [sender](const instance_record &record) {
+        return record.name == sender;
+    });
+    const bool isForeign{known != members.instances.end() && known->availabilityZone != state.availabilityZone};
+    if (carriesOthers || isForeign) {
+        internal::noteRelay(state, sender, members, now);
+    }
+    std::vector<node_digest> fresh;
+    for (auto &digest : *digests) {
+        if (digest.usage.instance == state.instance) {
+            continue;
+        }
+        auto &entry = state.entries[digest.usage.instance];
+        const bool isOld{entry.digest.usage.incarnation == digest.usage.incarnation && digest.usage.sequence <= entry.digest.usage.sequence};
+        if (isOld) {
+            continue;
+        }
+        entry = {digest, now, false};
+        fresh.push_back(std::move(digest));
+    }
+    return fresh;
+}
+
+} // namespace ragwortpin
--- a/src/ragwortpin/dispatch/call.cpp
+++ b/src/ragwortpin/dispatch/call.cpp
@@ -1,6 +1,9 @@
 #include "ragwortpin/dispatch/call.h"
 
+#include <algorithm>
+#include <array>
 #include <charconv>
+#include <cstdio>
 #include <string_view>
 #include <system_error>
 
@@ -23,6 +26,20 @@
     return result.ec == std::errc{} && result.ptr == end ? value : fallback;
 }
 
+/** Lowest status that promises nothing of its own about whether the request ran. */
+constexpr unsigned FirstServerError{500};
+
+/** Pause of callers that were refused without a known reason to wait longer. */
+constexpr duration ShortestPause{milliseconds{200}};
+
+std::string formatSeconds(duration span)
+{
+    constexpr std::size_t TextSize{16};
+    std::array<char, TextSize> text{};
+    const auto written = std::snprintf(text.data(), text.size(), "%.3f", toSeconds(span));
+    return {text.data(), static_cast<std::size_t>(std::clamp(written, 0, static_cast<int>(text.size()) - 1))};
+}
+
 std::string formatLevel(const shed_level &level)
 {
     return std::to_string(level.rank) + ';' + std::to_string(level.probability);
@@ -51,6 +68,7 @@
     answer.result = knownOutcome;
     answer.refusal = kind;
     answer.unusedAllowance = unusedAllowance;
+    answer.pause = retryAfter;
     return answer;
 }
 
@@ -64,6 +82,7 @@
     response.set(toBeast(field::UnusedAllowance), std::to_string(answer.unusedAllowance));
     response.set(toBeast(field::ShedLevel), formatLevel(answer.level));
     response.set(toBeast(field::Load), std::to_string(answer.load));
+    response.set(toBeast(field::Arrivals), std::to_string(answer.arrivals));
 }
 
 call_answer readAnswerFields(http_response response)
@@ -74,18 +93,33 @@
     answer.unusedAllowance = parseNumber(fieldValue(response, field::UnusedAllowance), 0U);
     answer.level = parseLevel(fieldValue(response, field::ShedLevel));
     answer.load = parseNumber(fieldValue(response, field::Load), 0.0);
+    answer.arrivals = parseNumber(fieldValue(response, field::Arrivals), 1U);
+    answer.pause = milliseconds{parseNumber(fieldValue(response, field::PauseMs), 0L)};
     removeInternalFields(response);
     answer.response = std::move(response);
     return answer;
 }
 
-http_response toCallerResponse(call_answer answer)
+http_response toCallerResponse(call_answer answer, bool fractionalRetryAfter)
 {
     auto response = std::move(answer.response);
     removeInternalFields(response);
     response.set(toBeast(field::Outcome), toBeast(toToken(answer.result)));
-    if (answer.refusal) {
-        response.set(toBeast(field::Refusal), toBeast(describe(*answer.refusal).token));
+    if (!answer.refusal) {
+        return response;
+    }
+    response.set(toBeast(field::Refusal), toBeast(describe(*answer.refusal).token));
+    const bool isInternal{response.result_int() >= FirstServerError || answer.refusal == refusal_kind::ContextInvalid};
+    if (answer.result == outcome::NotRun && isInternal) {
+        response.result(http::status::service_unavailable);
+    }
+    const bool mayReturn{response.result() == http::status::service_unavailable || response.result() == http::status::too_many_requests};
+    if (mayReturn && answer.pause <= duration::zero()) {
+        answer.pause = ShortestPause;
+        response.set(http::field::retry_after, "1");
+    }
+    if (mayReturn && fractionalRetryAfter) {
+        response.set(http::field::retry_after, formatSeconds(answer.pause));
     }
     return response;
 }
--- a/src/ragwortpin/dispatch/call.h
+++ b/src/ragwortpin/dispatch/call.h
@@ -38,6 +38,12 @@
     shed_level level;
     /** Requests running and queued over the limit at the instance that answered. */
     double load{0.0};
+    /** How long a refused caller should wait; zero when nothing is known. */
+    duration pause{0};
+    /** Instance that was asked last; empty when none was. */
+    std::string instance{};
+    /** Targets that the request may have arrived at. */
+    unsigned arrivals{0};
 };
 
 /** Makes the answer of a refused call. */
@@ -50,8 +56,11 @@
 /** Builds an answer from a response of a peer and removes the internal fields from it. A response without them promises nothing. */
 [[nodiscard]] call_answer readAnswerFields(http_response response);
 
-/** Makes the response that a caller or a target sees: internal fields removed but for the outcome and the refusal. */
-[[nodiscard]] http_response toCallerResponse(call_answer answer);
+/**
+ * Makes the response that a caller or a target sees: internal fields removed but for the outcome and the refusal. A refusal of
+ * what did not run has a status that says so, whichever its kind.
+ */
+[[nodiscard]] http_response toCallerResponse(call_answer answer, bool fractionalRetryAfter = false);
 
 } // namespace ragwortpin
 
--- a/src/ragwortpin/dispatch/dispatcher.cpp
+++ b/src/ragwortpin/dispatch/dispatcher.cpp
@@ -49,7 +49,9 @@
         return refuseCall(kind, outcome::NotRun, grant, NoInstancePause);
     }
     const bool late = monotonicNow() >= call.deadline;
-    return refuseCall(late ? refusal_kind::DeadlineExceeded : refusal_kind::AnswerLost, outcome::Unknown, 0);
+    auto answer = refuseCall(late ? refusal_kind::DeadlineExceeded : refusal_kind::AnswerLost, outcome::Unknown, 0);
+    answer.arrivals = 1;
+    return answer;
 }
 
 std::vector<std::size_t> indicesOf(const routing_state &routing, const std::vector<std::string> &names)
@@ -70,12 +72,14 @@
                        instance_directory &directory,
                        metrics_registry &metrics,
                        local_runner runLocally,
-                       std::uint64_t seed)
+                       std::uint64_t seed,
+                       dispatch_options options)
     : m_self{std::move(self)}
     , m_client{client}
     , m_directory{directory}
     , m_runLocally{std::move(runLocally)}
     , m_random{seed}
+    , m_options{options}
     , m_attempts{metrics.counterFor("ragwortpin_attempts_total")}
     , m_retries{metrics.counterFor("ragwortpin_retries_total")}
     , m_shedEarly{metrics.counterFor("ragwortpin_shed_at_first_hop_total")}
@@ -83,6 +87,9 @@
 
 bool dispatcher::admitNewCall(inbound_call &call)
 {
+    if (!m_options.shedsByLevel) {
+        return true;
+    }
     const auto &context = call.context;
     const double drawn{std::uniform_real_distribution<double>{0.0, 1.0}(m_random)};
     const auto decision = admitAtFirstHop(m_shedMemory, context.route, context.workspace, context.rank, drawn, monotonicNow());
@@ -100,9 +107,12 @@
     if (service == nullptr) {
         co_return refuseCall(refusal_kind::NoInstance, outcome::NotRun, unusedAllowance(escrow), NoInstancePause);
     }
-    observeFirstAttempt(service->budget);
+    if (call.context.depth == 0) {
+        observeFirstAttempt(service->budget);
+    }
     std::vector<std::string> tried;
     unsigned overloads{0};
+    unsigned arrivals{0};
     std::optional<call_answer> last;
     for (;;) {
         const auto instance = choose(*service, tried);
@@ -125,6 +135,8 @@
         } else {
             settleGrant(escrow, grant, last->unusedAllowance);
         }
+        arrivals += last->arrivals;
+        last->instance = instance->name;
         if (!last->refusal || call.control->cancelled()) {
             break;
         }
@@ -134,15 +146,21 @@
                                      .failedAtCallee = true,
                                      .retryable = call.definition.retryable,
                                      .once = call.definition.once,
+                                     .arrivals = arrivals,
+                                     .mostArrivals = call.definition.attempts,
                                      .earlierOverloads = overloads > 0 ? overloads - 1 : 0,
                                      .remaining = call.deadline - finished,
                                      .expected = duration::zero()};
+        if (arrivals > 0 && !m_options.repeatsArrivals) {
+            break;
+        }
         if (mayRetry(failure, escrow, service->budget) != retry_verdict::Retry) {
             break;
         }
         m_retries.add();
     }
     last->unusedAllowance = unusedAllowance(escrow);
+    last->arrivals = arrivals;
     co_return std::move(*last);
 }
 
@@ -182,7 +200,8 @@
     request.version(11);
     request.keep_alive(true);
     request.prepare_payload();
-    auto result = co_await m_client.exchange(instance.address, std::move(request), call.deadline, call.control);
+    const exchange_options options{.connectTimeout = m_options.connectTimeout};
+    auto result = co_await m_client.exchange(instance.address, std::move(request), call.deadline, call.control, options);
     co_return toAnswer(std::move(result), call, grant);
 }
 
--- a/src/ragwortpin/dispatch/dispatcher.h
+++ b/src/ragwortpin/dispatch/dispatcher.h
@@ -30,6 +30,19 @@
     signing_keys keys;
 };
 
+/** Settings of the dispatch. */
+struct dispatch_options
+{
+    /** Longest time for a connection to a peer. */
+    duration connectTimeout{seconds{2}};
+    /** Whether a request that may have arrived at a target is ever sent to another one. */
+    bool repeatsArrivals{true};
+    /** Whether the first hop refuses by the shed levels that answers carry. */
+    bool shedsByLevel{true};
+
+    bool operator==(const dispatch_options &) const = default;
+};
+
 /**
  * Carries a call to an instance of its service: refuses early what the services behind would refuse late, chooses the
  * instance, forwards with a signed context, and retries within the call's allowance. Data thread only.
@@ -42,7 +55,8 @@
                instance_directory &directory,
                metrics_registry &metrics,
                local_runner runLocally,
-               std::uint64_t seed);
+               std::uint64_t seed,
+               dispatch_options options = {});
 
     /** Carries out a call. The answer gives back the part of the retry allowance that was not used. */
     [[nodiscard]] boost::asio::awaitable<call_answer> dispatch(inbound_call call);
@@ -73,6 +87,7 @@
     local_runner m_runLocally;
     shed_memory m_shedMemory;
     std::mt19937_64 m_random;
+    dispatch_options m_options;
     counter &m_attempts;
     counter &m_retries;
     counter &m_shedEarly;
--- a/src/ragwortpin/http/client_pool.cpp
+++ b/src/ragwortpin/http/client_pool.cpp
@@ -8,8 +8,15 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
 #include <array>
+#include <charconv>
 #include <chrono>
+#include <string_view>
 
 namespace ragwortpin {
 
@@ -21,6 +28,13 @@
 /** Shorter than the servers' idle timeout, so that a connection is not reused while its server closes it. */
 constexpr duration IdleReuseLimit{seconds{5}};
 constexpr std::size_t IdleConnectionsPerServer{128};
+/** Part of the idle time announced by a server after which its connection is not reused any more. */
+constexpr double UsedIdleFraction{0.7};
+/** Responses to earlier requests that are passed over on one connection. */
+constexpr unsigned MostForeignResponses{3};
+/** Lower statuses are interim. */
+constexpr unsigned FirstFinalStatus{200};
+constexpr unsigned FirstErrorStatus{400};
 
 bool stillOpen(tcp::socket &socket)
 {
@@ -31,6 +45,42 @@
     return error == asio::error::would_block;
 }
 
+/** Bounds how long sent bytes may stay unacknowledged, so that a partition shows as an error and not as silence. */
+void limitUnacknowledged(tcp::socket &socket, duration limit)
+{
+    const auto value = static_cast<unsigned>(std::chrono::duration_cast<milliseconds>(limit).count());
+    // Without the option a cut connection is found by the deadline only.
+    static_cast<void>(::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &value, sizeof(value)));
+}
+
+/** Whether a response answers the request; one that came late repeats the id of an earlier request. */
+bool belongsTo(const http_response &response, const exchange_options &options)
+{
+    if (options.idField.empty()) {
+        return true;
+    }
+    const auto found = response.find(toBeast(options.idField));
+    if (found != response.end()) {
+        return toStd(found->value()) == options.expectedId;
+    }
+    return options.expectedId.empty() || response.result_int() >= FirstErrorStatus;
+}
+
+/** Time for which the server keeps an idle connection, less a part for the way; the longest time when it does not say. */
+duration announcedIdleTime(const http_response &response)
+{
+    constexpr std::string_view Parameter{"timeout="};
+    const auto field = toStd(response[http::field::keep_alive]);
+    const auto position = field.find(Parameter);
+    if (position == std::string_view::npos) {
+        return duration::max();
+    }
+    const auto digits = field.substr(position + Parameter.size());
+    long timeout{0};
+    const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), timeout);
+    return parsed.ec == std::errc{} ? fromSeconds(static_cast<double>(timeout) * UsedIdleFraction) : duration::max();
+}
+
 bool isFramed(const http::response_parser<http::string_body> &parser)
 {
     return parser.is_done() && !parser.need_eof();
@@ -43,65 +93,125 @@
     , m_limits{limits}
 { }
 
-asio::awaitable<exchange_result>
-http_client_pool::exchange(endpoint server, http_request request, time_point deadline, std::shared_ptr<call_control> control)
+asio::awaitable<exchange_result> http_client_pool::exchange(
+    endpoint server, http_request request, time_point deadline, std::shared_ptr<call_control> control, exchange_options options)
 {
     exchange_result result;
-    const auto remaining = deadline - monotonicNow();
-    if (remaining <= duration::zero() || control->cancelled()) {
+    if (deadline <= monotonicNow() || control->cancelled()) {
         result.error = asio::error::operation_aborted;
         co_return result;
     }
-    auto open = takeIdle(server);
-    const bool fresh = !open;
-    if (fresh) {
-        open = std::make_shared<connection>(connection{boost::beast::tcp_stream{m_context}, {}, {}});
-    }
-    control->onCancel([open] {
-        open->stream.close();
-    });
-    open->stream.expires_after(remaining);
-    if (fresh) {
-        const auto address = asio::ip::make_address(server.address, result.error);
-        if (!result.error) {
-            const tcp::endpoint remote{address, server.port};
-            co_await open->stream.async_connect(remote, asio::redirect_error(asio::use_awaitable, result.error));
-        }
+    auto open = takeIdle(server, options.longestIdle);
+    if (!open) {
+        open = std::make_shared<connection>(m_context);
+        co_await connect(*open, server, deadline, control, options, result.error);
         if (result.error) {
-            control->onCancel(nullptr);
             co_return result;
         }
-        boost::system::error_code ignored;
-        open->stream.socket().set_option(tcp::no_delay{true}, ignored);
     }
-    const auto written = co_await http::async_write(open->stream, request, asio::redirect_error(asio::use_awaitable, result.error));
-    if (result.error) {
-        result.progress = written == 0 ? exchange_progress::NotSent : exchange_progress::Sent;
-        control->onCancel(nullptr);
-        co_return result;
+    control->onCancel([open] {
+        open->stream.close();
+    });
+    open->stream.expires_after(std::max(duration{1}, deadline - monotonicNow()));
+    co_await sendRequest(*open, request, result);
+    if (result.progress == exchange_progress::Sent) {
+        co_await readResponse(*open, request.method() == http::verb::head, options, result);
     }
-    result.progress = exchange_progress::Sent;
-    http::response_parser<http::string_body> parser;
-    parser.header_limit(m_limits.headerBytes);
-    parser.body_limit(m_limits.responseBodyBytes);
-    parser.skip(request.method() == http::verb::head);
-    co_await http::async_read(open->stream, open->buffer, parser, asio::redirect_error(asio::use_awaitable, result.error));
     control->onCancel(nullptr);
-    if (result.error || control->cancelled()) {
-        co_return result;
-    }
-    if (!isFramed(parser)) {
-        result.error = http::error::partial_message;
+    if (result.progress != exchange_progress::Answered || control->cancelled()) {
+        if (result.progress == exchange_progress::Answered) {
+            result = {.progress = exchange_progress::Sent, .error = asio::error::operation_aborted, .response = std::nullopt};
+        }
         co_return result;
     }
-    result.progress = exchange_progress::Answered;
-    result.response = parser.release();
-    if (result.response->keep_alive()) {
+    if (open->reusable) {
         putIdle(server, std::move(open));
     }
     co_return result;
 }
 
+asio::awaitable<exchange_result>
+http_client_pool::exchange(endpoint server, http_request request, time_point deadline, std::shared_ptr<call_control> control)
+{
+    exchange_options defaults;
+    return exchange(std::move(server), std::move(request), deadline, std::move(control), std::move(defaults));
+}
+
+asio::awaitable<void> http_client_pool::connect(connection &open,
+                                                const endpoint &server,
+                                                time_point deadline,
+                                                const std::shared_ptr<call_control> &control,
+                                                const exchange_options &options,
+                                                boost::system::error_code &error)
+{
+    const auto address = asio::ip::make_address(server.address, error);
+    if (error) {
+        co_return;
+    }
+    control->onCancel([&open] {
+        open.stream.close();
+    });
+    open.stream.expires_after(std::max(duration{1}, std::min(options.connectTimeout, deadline - monotonicNow())));
+    const tcp::endpoint remote{address, server.port};
+    co_await open.stream.async_connect(remote, asio::redirect_error(asio::use_awaitable, error));
+    control->onCancel(nullptr);
+    if (!error && control->cancelled()) {
+        error = asio::error::operation_aborted;
+    }
+    if (error) {
+        co_return;
+    }
+    boost::system::error_code ignored;
+    open.stream.socket().set_option(tcp::no_delay{true}, ignored);
+    limitUnacknowledged(open.stream.socket(), options.unacknowledgedTimeout);
+}
+
+/** A request whose connection breaks while it is sent may have been answered early, so that the answer is looked for all the same. */
+asio::awaitable<void> http_client_pool::sendRequest(connection &open, const http_request &request, exchange_result &result)
+{
+    const auto written = co_await http::async_write(open.stream, request, asio::redirect_error(asio::use_awaitable, result.error));
+    if (result.error && written == 0) {
+        co_return;
+    }
+    open.sentWhole = !result.error;
+    result.progress = exchange_progress::Sent;
+    if (result.error == boost::beast::error::timeout) {
+        open.stream.close();
+    }
+}
+
+asio::awaitable<void>
+http_client_pool::readResponse(connection &open, bool isHead, const exchange_options &options, exchange_result &result)
+{
+    for (unsigned read{0}; read <= MostForeignResponses; ++read) {
+        http::response_parser<http::string_body> parser;
+        parser.header_limit(m_limits.headerBytes);
+        parser.body_limit(m_limits.responseBodyBytes);
+        parser.skip(isHead);
+        co_await http::async_read(open.stream, open.buffer, parser, asio::redirect_error(asio::use_awaitable, result.error));
+        if (result.error) {
+            co_return;
+        }
+        const bool framed{isFramed(parser)};
+        if (!framed && !options.acceptUnframed) {
+            result.error = http::error::partial_message;
+            co_return;
+        }
+        auto response = parser.release();
+        if (response.result_int() >= FirstFinalStatus && belongsTo(response, options)) {
+            open.reusable = framed && open.sentWhole && response.keep_alive() && open.buffer.size() == 0;
+            open.idleLimit = std::min(IdleReuseLimit, announcedIdleTime(response));
+            result.progress = exchange_progress::Answered;
+            result.response = std::move(response);
+            co_return;
+        }
+        if (!framed) {
+            break;
+        }
+    }
+    result.error = http::error::bad_value;
+}
+
 std::size_t http_client_pool::idleConnections() const noexcept
 {
     std::size_t count{0};
@@ -111,7 +221,7 @@
     return count;
 }
 
-http_client_pool::connection_ptr http_client_pool::takeIdle(const endpoint &server)
+http_client_pool::connection_ptr http_client_pool::takeIdle(const endpoint &server, duration longestIdle)
 {
     const auto found = m_idle.find(server);
     if (found == m_idle.end()) {
@@ -120,11 +230,13 @@
     const auto now = monotonicNow();
     auto &connections = found->second;
     while (!connections.empty()) {
+        const auto idle = now - connections.back()->idleSince;
+        if (idle >= longestIdle && idle < connections.back()->idleLimit) {
+            return nullptr;
+        }
         auto candidate = std::move(connections.back());
         connections.pop_back();
-        const bool usable
-            = now - candidate->idleSince < IdleReuseLimit && candidate->buffer.size() == 0 && stillOpen(candidate->stream.socket());
-        if (usable) {
+        if (idle < candidate->idleLimit && stillOpen(candidate->stream.socket())) {
             return candidate;
         }
     }
@@ -143,4 +255,19 @@
     connections.push_back(std::move(open));
 }
 
+void http_client_pool::closeIdle(const endpoint &server)
+{
+    m_idle.erase(server);
+}
+
+void http_client_pool::closeExpired()
+{
+    const auto now = monotonicNow();
+    for (auto &[server, connections] : m_idle) {
+        std::erase_if(connections, [now](const connection_ptr &candidate) {
+            return now - candidate->idleSince >= candidate->idleLimit || !stillOpen(candidate->stream.socket());
+        });
+    }
+}
+
 } // namespace ragwortpin
--- a/src/ragwortpin/http/fwd.h
+++ b/src/ragwortpin/http/fwd.h
@@ -9,6 +9,8 @@
 struct http_limits;
 struct endpoint;
 struct exchange_result;
+struct exchange_options;
+struct header_names;
 
 } // namespace ragwortpin
 
--- a/src/ragwortpin/http/message.cpp
+++ b/src/ragwortpin/http/message.cpp
@@ -77,6 +77,8 @@
     if (retryAfter > duration::zero()) {
         const auto wholeSeconds = static_cast<long>(std::ceil(toSeconds(retryAfter)));
         response.set(http::field::retry_after, std::to_string(std::max(1L, wholeSeconds)));
+        const auto pause = std::chrono::duration_cast<milliseconds>(retryAfter);
+        response.set(toBeast(field::PauseMs), std::to_string(std::max<milliseconds::rep>(1, pause.count())));
     }
     return response;
 }
--- a/src/ragwortpin/http/message.h
+++ b/src/ragwortpin/http/message.h
@@ -43,6 +43,10 @@
 inline constexpr std::string_view ShedLevel{"Ragwortpin-Shed-Level"};
 /** Requests in flight at the callee's target and its concurrency limit. */
 inline constexpr std::string_view Load{"Ragwortpin-Load"};
+/** Targets that the request may have arrived at. */
+inline constexpr std::string_view Arrivals{"Ragwortpin-Arrivals"};
+/** Milliseconds that a refused caller should wait; Retry-After has whole seconds only. */
+inline constexpr std::string_view PauseMs{"Ragwortpin-Pause-Ms"};
 } // namespace field
 
 /** Bounds of what a listener or a client accepts. */
--- a/src/ragwortpin/http/server.cpp
+++ b/src/ragwortpin/http/server.cpp
@@ -1,5 +1,7 @@
 #include "ragwortpin/http/server.h"
 
+#include "ragwortpin/runtime/async_signal.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -13,6 +15,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include <array>
+#include <deque>
 #include <optional>
 
 namespace ragwortpin {
@@ -22,6 +25,17 @@
 
 namespace {
 
+/** Requests of one connection that are served side by side; more wait unread. */
+constexpr std::size_t MostPipelined{32};
+
+/** Longest wait for the client's own close after the last answer. */
+constexpr seconds LingerTime{1};
+
+/** Time between two checks for stalled connections. */
+constexpr seconds StallCheckInterval{1};
+
+constexpr std::size_t DiscardBytes{512};
+
 /** Pause after a failed accept, for example while file descriptors are short. */
 constexpr milliseconds AcceptRetryInterval{10};
 
@@ -44,29 +58,19 @@
     return std::nullopt;
 }
 
-bool peerClosed(tcp::socket &socket)
-{
-    std::array<char, 1> byte{};
-    boost::system::error_code error;
-    socket.non_blocking(true, error);
-    const auto received = socket.receive(asio::buffer(byte), tcp::socket::message_peek, error);
-    if (error == asio::error::would_block) {
-        return false;
-    }
-    return error || received == 0;
-}
-
 } // namespace
 
-/** One connection of a client. Owned by its coroutine. */
+/** One connection of a client. Requests are served side by side and answered in the order in which they came. */
 class http_server::session : public std::enable_shared_from_this<session>
 {
 public:
     session(http_server &server, tcp::socket socket)
         : m_server{server}
-        , m_stream{std::move(socket)}
+        , m_socket{std::move(socket)}
+        , m_changed{server.m_context}
     {
         m_server.m_sessions.insert(this);
+        touch();
     }
 
     session(const session &) = delete;
@@ -81,114 +85,229 @@
     {
         bool open{true};
         while (open) {
-            open = co_await serveOne();
+            open = co_await readOne();
         }
-        boost::system::error_code ignored;
-        m_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+        co_await watchUntilAnswered();
+        co_await closeGracefully();
     }
 
+    /** Closes the connection if no request is being read or served. */
     void closeIfIdle()
     {
-        if (!m_serving && m_buffer.size() == 0) {
-            m_stream.cancel();
+        if (m_pending.empty() && m_buffer.size() == 0) {
+            close();
+        }
+    }
+
+    /** Closes the connection if its client neither sent nor took a byte in time while the server waited for it. */
+    void closeIfStalled(time_point now)
+    {
+        const bool waitsForHandler{!m_pending.empty() && !m_writing};
+        if (!waitsForHandler && now >= m_stallDeadline) {
+            close();
         }
     }
 
 private:
-    asio::awaitable<bool> serveOne()
+    /** A request that was read and not yet answered. */
+    struct exchange
+    {
+        std::shared_ptr<call_control> control{std::make_shared<call_control>()};
+        unsigned version{11};
+        bool keepAlive{true};
+        bool head{false};
+        std::optional<http_response> response;
+    };
+
+    void touch()
+    {
+        m_stallDeadline = monotonicNow() + m_server.m_limits.idleTimeout;
+    }
+
+    void close()
+    {
+        boost::system::error_code ignored;
+        m_socket.close(ignored);
+    }
+
+    asio::awaitable<bool> readOne()
     {
         request_parser parser;
         parser.header_limit(m_server.m_limits.headerBytes);
         parser.body_limit(m_server.m_limits.requestBodyBytes);
         boost::system::error_code error;
         co_await readRequest(parser, error);
+        if (m_closing) {
+            co_return false;
+        }
         if (error) {
-            co_await answerReadError(error);
+            answerReadError(error);
             co_return false;
         }
-        m_serving = true;
+        auto item = std::make_shared<exchange>();
+        item->version = parser.get().version();
+        item->keepAlive = parser.get().keep_alive();
+        item->head = parser.get().method() == http::verb::head;
+        m_pending.push_back(item);
         ++m_server.m_requestsInFlight;
-        const bool reusable = co_await answer(parser.release());
-        --m_server.m_requestsInFlight;
-        m_serving = false;
-        co_return reusable;
+        asio::co_spawn(m_server.m_context, serve(shared_from_this(), item, parser.release()), asio::detached);
+        while (m_pending.size() >= MostPipelined && m_socket.is_open()) {
+            co_await m_changed.wait();
+        }
+        co_return item->keepAlive && m_socket.is_open() && !m_closing;
     }
 
     asio::awaitable<void> readRequest(request_parser &parser, boost::system::error_code &error)
     {
-        m_stream.expires_after(m_server.m_limits.idleTimeout);
-        co_await http::async_read_header(m_stream, m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        touch();
+        co_await http::async_read_header(m_socket, m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
         if (error) {
             co_return;
         }
+        touch();
         if (boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
-            http::response<http::empty_body> proceed{http::status::continue_, parser.get().version()};
-            co_await http::async_write(m_stream, proceed, asio::redirect_error(asio::use_awaitable, error));
+            co_await sendContinue(parser.get().version(), error);
         }
         if (!error) {
-            co_await http::async_read(m_stream, m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+            co_await http::async_read(m_socket, m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
         }
     }
 
-    asio::awaitable<void> answerReadError(boost::system::error_code error)
+    /** Answers to earlier requests go first. */
+    asio::awaitable<void> sendContinue(unsigned version, boost::system::error_code &error)
+    {
+        while (!m_pending.empty() && m_socket.is_open()) {
+            co_await m_changed.wait();
+        }
+        http::response<http::empty_body> proceed{http::status::continue_, version};
+        co_await http::async_write(m_socket, proceed, asio::redirect_error(asio::use_awaitable, error));
+    }
+
+    /** Refuses what broke a limit or the grammar, after the answers that are due before; any other end is that of the client. */
+    void answerReadError(boost::system::error_code error)
     {
         const auto kind = refusalFor(error);
         if (!kind) {
-            co_return;
+            abandonAll();
+            return;
         }
         m_server.m_observer(*kind);
-        auto response = makeRefusal(*kind, outcome::NotRun);
-        response.keep_alive(false);
-        boost::system::error_code ignored;
-        co_await http::async_write(m_stream, response, asio::redirect_error(asio::use_awaitable, ignored));
+        auto item = std::make_shared<exchange>();
+        item->keepAlive = false;
+        item->response = makeRefusal(*kind, outcome::NotRun);
+        m_pending.push_back(item);
+        ++m_server.m_requestsInFlight;
+        startWriting();
     }
 
-    asio::awaitable<bool> answer(http_request request)
+    void abandonAll()
     {
-        const bool keepAlive = request.keep_alive();
-        const auto version = request.version();
-        const bool head = request.method() == http::verb::head;
-        auto control = std::make_shared<call_control>();
-        watchForDisconnect(control);
-        auto response = co_await m_server.m_handler(std::move(request), control);
-        m_watched.reset();
-        boost::system::error_code error;
-        m_stream.socket().cancel(error);
-        if (control->cancelled()) {
-            co_return false;
+        m_gone = true;
+        const auto pending = m_pending;
+        for (const auto &item : pending) {
+            item->control->cancel();
+        }
+    }
+
+    static asio::awaitable<void> serve(std::shared_ptr<session> self, std::shared_ptr<exchange> item, http_request request)
+    {
+        item->response = co_await self->m_server.m_handler(std::move(request), item->control);
+        self->startWriting();
+    }
+
+    void startWriting()
+    {
+        if (!std::exchange(m_writing, true)) {
+            asio::co_spawn(m_server.m_context, writeAnswers(shared_from_this()), asio::detached);
+        }
+    }
+
+    static asio::awaitable<void> writeAnswers(std::shared_ptr<session> self)
+    {
+        while (!self->m_pending.empty() && self->m_pending.front()->response) {
+            const auto item = self->m_pending.front();
+            co_await self->writeAnswer(*item);
+            self->m_pending.pop_front();
+            --self->m_server.m_requestsInFlight;
         }
-        response.version(version);
-        response.keep_alive(keepAlive && !m_server.m_draining);
-        const bool reusable = response.keep_alive();
-        m_stream.expires_after(m_server.m_limits.idleTimeout);
-        if (head) {
+        self->m_writing = false;
+        self->m_changed.notifyAll();
+    }
+
+    asio::awaitable<void> writeAnswer(exchange &item)
+    {
+        if (m_gone || m_closing || !m_socket.is_open()) {
+            co_return;
+        }
+        auto &response = *item.response;
+        response.version(item.version);
+        const bool isLast{m_pending.size() == 1};
+        response.keep_alive(item.keepAlive && !(m_server.m_draining && isLast));
+        m_closing = !response.keep_alive();
+        touch();
+        boost::system::error_code error;
+        if (item.head) {
             http::response<http::empty_body> headOnly{std::move(response.base())};
-            co_await http::async_write(m_stream, headOnly, asio::redirect_error(asio::use_awaitable, error));
+            co_await http::async_write(m_socket, headOnly, asio::redirect_error(asio::use_awaitable, error));
         } else {
-            co_await http::async_write(m_stream, response, asio::redirect_error(asio::use_awaitable, error));
+            co_await http::async_write(m_socket, response, asio::redirect_error(asio::use_awaitable, error));
+        }
+        touch();
+        if (error) {
+            close();
+        } else if (m_closing) {
+            m_socket.cancel(error);
         }
-        co_return reusable && !error;
     }
 
-    void watchForDisconnect(const std::shared_ptr<call_control> &control)
+    /** Waits for the answers under way. What the client sends meanwhile was sent behind the last request and is not read as one. */
+    asio::awaitable<void> watchUntilAnswered()
     {
-        m_stream.expires_never();
-        m_watched = control;
-        if (m_buffer.size() > 0) {
-            return;
+        if (!m_gone && !m_pending.empty()) {
+            asio::co_spawn(m_server.m_context, watchForDisconnect(shared_from_this()), asio::detached);
+        }
+        while (!m_pending.empty()) {
+            co_await m_changed.wait();
+        }
+    }
+
+    static asio::awaitable<void> watchForDisconnect(std::shared_ptr<session> self)
+    {
+        boost::system::error_code error;
+        std::array<char, DiscardBytes> discarded{};
+        while (!error && !self->m_pending.empty()) {
+            co_await self->m_socket.async_read_some(asio::buffer(discarded), asio::redirect_error(asio::use_awaitable, error));
+        }
+        if (error && !self->m_pending.empty()) {
+            self->abandonAll();
         }
-        m_stream.socket().async_wait(tcp::socket::wait_read, [self = shared_from_this(), control](boost::system::error_code error) {
-            if (!error && self->m_watched == control && peerClosed(self->m_stream.socket())) {
-                control->cancel();
-            }
-        });
+    }
+
+    /** Lets the client read the last answer: closing with unread bytes would reset the connection under it. */
+    asio::awaitable<void> closeGracefully()
+    {
+        boost::system::error_code error;
+        m_socket.shutdown(tcp::socket::shutdown_send, error);
+        m_stallDeadline = monotonicNow() + LingerTime;
+        std::array<char, DiscardBytes> discarded{};
+        while (!error && !m_gone) {
+            co_await m_socket.async_read_some(asio::buffer(discarded), asio::redirect_error(asio::use_awaitable, error));
+        }
+        close();
     }
 
     http_server &m_server;
-    boost::beast::tcp_stream m_stream;
+    tcp::socket m_socket;
     boost::beast::flat_buffer m_buffer;
-    std::shared_ptr<call_control> m_watched;
-    bool m_serving{false};
+    async_signal m_changed;
+    /** In the order of arrival. */
+    std::deque<std::shared_ptr<exchange>> m_pending;
+    time_point m_stallDeadline{};
+    bool m_writing{false};
+    /** Whether an answer was written that ends the connection. */
+    bool m_closing{false};
+    /** Whether the client closed the connection. */
+    bool m_gone{false};
 };
 
 http_server::http_server(asio::io_context &context, http_limits limits, http_handler handler, refusal_observer observer)
@@ -197,6 +316,7 @@
     , m_handler{std::move(handler)}
     , m_observer{std::move(observer)}
     , m_acceptor{context}
+    , m_stallTimer{context}
 { }
 
 boost::system::error_code http_server::listen(const endpoint &local)
@@ -219,6 +339,7 @@
     }
     if (!error) {
         asio::co_spawn(m_context, acceptConnections(), asio::detached);
+        checkStalled();
     }
     return error;
 }
@@ -243,6 +364,22 @@
     }
 }
 
+void http_server::checkStalled()
+{
+    m_stallTimer.expires_after(StallCheckInterval);
+    m_stallTimer.async_wait([this](boost::system::error_code error) {
+        if (error) {
+            return;
+        }
+        const auto now = monotonicNow();
+        const auto sessions = m_sessions;
+        for (auto *open : sessions) {
+            open->closeIfStalled(now);
+        }
+        checkStalled();
+    });
+}
+
 asio::awaitable<void> http_server::acceptConnections()
 {
     while (m_acceptor.is_open()) {
--- a/src/ragwortpin/http/server.h
+++ b/src/ragwortpin/http/server.h
@@ -9,7 +9,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <memory>
@@ -24,8 +24,9 @@
 using refusal_observer = std::function<void(refusal_kind)>;
 
 /**
- * HTTP/1.1 listener with keep-alive on one io_context. Each request is read whole within the limits before the handler runs;
- * what breaks a limit or the grammar is answered with a refusal and the connection is closed.
+ * HTTP/1.1 listener with keep-alive and pipelining on one io_context. Each request is read whole within the limits before the
+ * handler runs; requests of one connection are handled side by side and answered in their order. What breaks a limit or the
+ * grammar is answered with a refusal and the connection is closed.
  */
 class http_server
 {
@@ -60,12 +61,14 @@
     class session;
 
     boost::asio::awaitable<void> acceptConnections();
+    void checkStalled();
 
     boost::asio::io_context &m_context;
     http_limits m_limits;
     http_handler m_handler;
     refusal_observer m_observer;
     boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::steady_timer m_stallTimer;
     std::unordered_set<session *> m_sessions;
     std::size_t m_requestsInFlight{0};
     bool m_draining{false};
--- a/src/ragwortpin/identity/context.cpp
+++ b/src/ragwortpin/identity/context.cpp
@@ -18,6 +18,8 @@
     std::int64_t signedAt{0};
     std::string workspace;
     std::string route;
+    std::string service;
+    std::string callerService;
     unsigned rank{0};
     unsigned depth{0};
     unsigned retryAllowance{0};
@@ -28,7 +30,20 @@
     bool sampled{false};
 
     // NOLINTNEXTLINE(readability-identifier-naming): the name of the library's macro for members to encode.
-    MSGPACK_DEFINE(audience, signedAt, workspace, route, rank, depth, retryAllowance, admitProbability, remaining, traceId, spanId, sampled)
+    MSGPACK_DEFINE(audience,
+                   signedAt,
+                   workspace,
+                   route,
+                   service,
+                   callerService,
+                   rank,
+                   depth,
+                   retryAllowance,
+                   admitProbability,
+                   remaining,
+                   traceId,
+                   spanId,
+                   sampled)
 };
 
 } // namespace internal
@@ -38,7 +53,7 @@
 constexpr std::size_t SignatureBytes{32};
 constexpr std::size_t LargestHeader{4096};
 /** Fields of a sealed context; the library alone would accept fewer and leave the rest at their defaults. */
-constexpr std::uint32_t SealedFields{12};
+constexpr std::uint32_t SealedFields{14};
 
 bool isSigned(std::string_view signature, std::string_view payload, const signing_keys &keys)
 {
@@ -51,6 +66,8 @@
 {
     return {.workspace = sealed.workspace,
             .route = sealed.route,
+            .service = sealed.service,
+            .callerService = sealed.callerService,
             .rank = sealed.rank,
             .depth = sealed.depth,
             .retryAllowance = sealed.retryAllowance,
@@ -82,6 +99,8 @@
                                           .signedAt = wallClock.count(),
                                           .workspace = context.workspace,
                                           .route = context.route,
+                                          .service = context.service,
+                                          .callerService = context.callerService,
                                           .rank = context.rank,
                                           .depth = context.depth,
                                           .retryAllowance = context.retryAllowance,
--- a/src/ragwortpin/identity/context.h
+++ b/src/ragwortpin/identity/context.h
@@ -32,6 +32,10 @@
     std::string workspace;
     /** Name of the route that the first hop of this call matched. */
     std::string route;
+    /** Service that the first hop chose for the call. */
+    std::string service{};
+    /** Service of the target beside the first hop, which the call came from or by. */
+    std::string callerService{};
     /** Rank of the request's importance; 0 is shed last. */
     unsigned rank{0};
     /** Calls above this one; 0 for the caller's own request. */
--- a/src/ragwortpin/node/claims_duty.h
+++ b/src/ragwortpin/node/claims_duty.h
@@ -2,7 +2,7 @@
 #define RAGWORTPIN_NODE_CLAIMS_DUTY_H
 
 #include "ragwortpin/claims/claims.h"
-#include "ragwortpin/platform/store.h"
+#include "ragwortpin/store/store.h"
 #include "ragwortpin/runtime/mailbox.h"
 #include "ragwortpin/runtime/metrics.h"
 
--- a/src/ragwortpin/node/data_plane.cpp
+++ b/src/ragwortpin/node/data_plane.cpp
@@ -2,7 +2,9 @@
 
 #include "ragwortpin/peers/control_server.h"
 #include "ragwortpin/peers/signature.h"
+#include "ragwortpin/runtime/logging.h"
 
+#include <limits>
 #include <random>
 
 namespace ragwortpin {
@@ -12,8 +14,14 @@
 constexpr std::size_t ControlEvents{4096};
 constexpr std::size_t OperatorEvents{64};
 constexpr std::size_t PlatformEvents{256};
-constexpr milliseconds QueueTick{5};
+constexpr milliseconds QueueTick{20};
 constexpr milliseconds StateTick{100};
+/** The target is on the same machine. */
+constexpr milliseconds TargetConnectTimeout{1000};
+/** Some hundred times the way between availability zones; a peer that takes longer is cut off or overwhelmed. */
+constexpr milliseconds PeerConnectTimeout{400};
+/** A target may drop an idle connection without notice; a request sent on it counts as sent. */
+constexpr seconds LongestIdleOnce{4};
 constexpr seconds ForgetTick{5};
 
 rights_settings toRightsSettings(const node_settings &settings)
@@ -24,6 +32,32 @@
     return result;
 }
 
+target_options toTargetOptions(const node_settings &settings)
+{
+    /** A tolerance that no service time exceeds, so that the limit stays at the announced slots. */
+    constexpr double NoTolerance{1e12};
+    target_options options;
+    options.headers = settings.headers;
+    options.startsCold = settings.overload.coldStart;
+    options.usedSlots = settings.overload.usedSlots;
+    options.admission.longestDelay = settings.overload.longestQueueDelay;
+    if (!settings.overload.adaptiveLimit) {
+        options.admission.limit.tolerance = NoTolerance;
+    }
+    options.exchange.idField = settings.headers.requestId;
+    options.exchange.acceptUnframed = true;
+    options.exchange.connectTimeout = TargetConnectTimeout;
+    options.longestIdleOnce = LongestIdleOnce;
+    return options;
+}
+
+dispatch_options toDispatchOptions(const node_settings &settings)
+{
+    return {.connectTimeout = PeerConnectTimeout,
+            .repeatsArrivals = settings.overload.repeatsArrivals,
+            .shedsByLevel = settings.overload.shedsByLevel};
+}
+
 std::uint64_t randomSeed()
 {
     std::random_device device;
@@ -73,7 +107,7 @@
     , m_timer{m_context}
     , m_client{m_context, settings.limits}
     , m_directory{settings.availabilityZone}
-    , m_target{m_context, m_client, metrics, m_services.spans}
+    , m_target{m_context, m_client, metrics, m_services.spans, toTargetOptions(settings)}
     , m_dispatcher{{settings.instance, keys},
                    m_client,
                    m_directory,
@@ -81,22 +115,29 @@
                    [this](inbound_call call) {
                        return runLocally(std::move(call));
                    },
-                   randomSeed()}
+                   randomSeed(),
+                   toDispatchOptions(settings)}
     , m_rates{m_context, toRightsSettings(settings), toRightsIdentity(settings), m_services.rates, metrics}
+    , m_fleet{m_context, settings, m_services.sendDigest, metrics}
     , m_once{m_context, m_dispatcher, m_services.claims, metrics}
     , m_callerServices{configuration,
                        m_dispatcher,
                        [this](std::string workspace, std::shared_ptr<call_control> control) {
-                           return m_rates.take(std::move(workspace), std::move(control));
+                           return takeToken(std::move(workspace), std::move(control));
                        },
                        [this](inbound_call call) {
                            return m_once.run(std::move(call));
                        },
-                       m_services.spans}
+                       m_services.spans,
+                       settings.headers,
+                       m_services.proofAge,
+                       settings.configuration.longestProofAge,
+                       [this] {
+                           return ownService();
+                       }}
     , m_callers{m_callerServices, metrics, settings.sampleRatio, randomSeed()}
     , m_egress{m_callerServices, m_callers, m_target.inFlight(), metrics}
     , m_forward{{settings.instance, keys},
-                configuration,
                 [this](inbound_call call) {
                     return runLocally(std::move(call));
                 },
@@ -169,43 +210,117 @@
     if (const auto *configured = std::get_if<configuration_event>(&event)) {
         m_directory.updateConfiguration(configured->index->value);
         m_rates.updateConfiguration({configured->index, &configured->index->value});
+        m_fleet.updateConfiguration(configured->index->value);
         updateOwnRecord();
     } else if (const auto *members = std::get_if<membership_event>(&event)) {
         m_directory.updateMembers(*members->view, now);
         m_rates.updateMembers(members->view);
+        m_fleet.updateMembers(members->view);
     } else if (const auto *loan = std::get_if<loan_event>(&event)) {
         m_rates.receive(loan->sender, loan->payload);
+    } else if (const auto *digest = std::get_if<digest_event>(&event)) {
+        m_fleet.receive(digest->sender, digest->payload);
     }
 }
 
 void data_plane::handle(operator_event event)
 {
     if (const auto *announcement = std::get_if<target_announcement>(&event)) {
-        const bool returned = m_targetDraining && !m_shutdownStarted;
-        if (returned) {
-            m_targetDraining = false;
-            m_target.stopDraining();
-        }
-        m_target.announce(*announcement, monotonicNow());
-        updateOwnRecord();
+        handleAnnouncement(*announcement);
+    } else if (const auto *departure = std::get_if<target_departure>(&event)) {
+        handleDeparture(*departure);
     } else if (std::holds_alternative<drain_event>(event)) {
-        m_targetDraining = true;
-        m_target.startDraining();
-        updateOwnRecord();
+        startDraining("drain");
     } else if (std::holds_alternative<shutdown_event>(event)) {
         startShutdown();
     }
 }
 
+boost::asio::awaitable<rate_answer> data_plane::takeToken(std::string workspace, std::shared_ptr<call_control> control)
+{
+    if (m_settings.rateMethod == rate_method::Shared) {
+        co_return co_await m_fleet.take(std::move(workspace), std::move(control));
+    }
+    co_return co_await m_rates.take(std::move(workspace), std::move(control));
+}
+
+void data_plane::handleAnnouncement(const target_announcement &announcement)
+{
+    if (noteAnnouncement(m_targetHistory, announcement) == announcement_verdict::Stale) {
+        logEvent(log_level::Warning,
+                 "announcement_stale",
+                 {{"incarnation", announcement.incarnation}, {"sequence", std::to_string(announcement.sequence)}});
+        return;
+    }
+    const bool isNew{!m_target.announced() || m_target.announced()->incarnation != announcement.incarnation};
+    if (isNew) {
+        logEvent(log_level::Info,
+                 "target_announced",
+                 {{"incarnation", announcement.incarnation},
+                  {"service", announcement.service},
+                  {"slots", std::to_string(announcement.slots)}});
+    }
+    auto usable = announcement;
+    usable.connections = usable.connections > 0 ? usable.connections : connectionsOf(usable.service);
+    m_target.announce(usable, monotonicNow());
+    if (announcement.draining) {
+        startDraining("announced");
+        return;
+    }
+    if (m_targetDraining && !m_shutdownStarted) {
+        m_targetDraining = false;
+        m_target.stopDraining();
+    }
+    updateOwnRecord();
+}
+
+void data_plane::handleDeparture(const target_departure &departure)
+{
+    if (noteDeparture(m_targetHistory, departure)) {
+        startDraining("departed");
+    }
+}
+
+void data_plane::startDraining(std::string_view reason)
+{
+    if (!m_targetDraining) {
+        logEvent(log_level::Info, "target_draining", {{"reason", std::string{reason}}});
+    }
+    m_targetDraining = true;
+    m_target.startDraining();
+    updateOwnRecord();
+}
+
+/** Connections that the configuration allows to a target of the service; as many as it has slots for where nothing is known. */
+std::uint32_t data_plane::connectionsOf(const std::string &service) const
+{
+    constexpr std::uint32_t Unlimited{std::numeric_limits<std::uint32_t>::max()};
+    const auto index = m_configuration.load();
+    const auto *found = index ? findService(*index, service) : nullptr;
+    return found != nullptr && found->connections > 0 ? found->connections : Unlimited;
+}
+
+std::string data_plane::ownService() const
+{
+    const auto &announced = m_target.announced();
+    return announced ? announced->service : m_settings.service;
+}
+
 void data_plane::subscribeTimers()
 {
     const auto now = monotonicNow();
     m_timers.subscribe(now, QueueTick, [this](time_point at) {
         m_target.expireQueued(at);
     });
-    m_timers.subscribe(now, rate_driver::TickInterval, [this](time_point) {
-        m_rates.tick();
-    });
+    if (m_settings.rateMethod == rate_method::Slots) {
+        m_timers.subscribe(now, rate_driver::TickInterval, [this](time_point) {
+            m_rates.tick();
+        });
+    } else {
+        m_timers.subscribe(now, m_fleet.roundInterval(), [this](time_point) {
+            m_fleet.tick(m_target);
+        });
+    }
     m_timers.subscribe(now, StateTick, [this](time_point at) {
         updateOwnRecord();
         m_once.wakeWaiting();
@@ -213,6 +328,7 @@
     });
     m_timers.subscribe(now, ForgetTick, [this](time_point at) {
         m_dispatcher.forgetOld(at);
+        m_client.closeExpired();
     });
 }
 
@@ -259,10 +375,13 @@
         return;
     }
     m_shutdownStarted = monotonicNow();
+    m_stopping.store(true);
     m_target.startDraining();
     m_callerServer.startDraining();
     m_peerServer.startDraining();
-    m_rates.leave();
+    if (m_settings.rateMethod == rate_method::Slots) {
+        m_rates.leave();
+    }
     updateOwnRecord();
 }
 
@@ -275,13 +394,13 @@
     if (elapsed < m_settings.shutdown.announce) {
         return;
     }
-    if (!m_listenersClosed) {
+    const bool idle = requestsInFlight() == 0;
+    if (idle && !m_listenersClosed) {
         m_listenersClosed = true;
         m_callerServer.closeIdle();
     }
-    const bool idle = requestsInFlight() == 0;
     const bool late = elapsed >= m_settings.shutdown.announce + m_settings.shutdown.finish;
-    if ((idle && m_rates.left()) || late) {
+    if ((idle && (m_settings.rateMethod == rate_method::Shared || m_rates.left())) || late) {
         m_finished = true;
         updateOwnRecord();
         m_services.finished();
--- a/src/ragwortpin/node/data_plane.h
+++ b/src/ragwortpin/node/data_plane.h
@@ -6,6 +6,7 @@
 #include "ragwortpin/http/client_pool.h"
 #include "ragwortpin/http/server.h"
 #include "ragwortpin/node/events.h"
+#include "ragwortpin/node/fleet_driver.h"
 #include "ragwortpin/node/once_gateway.h"
 #include "ragwortpin/node/rate_driver.h"
 #include "ragwortpin/node/settings.h"
@@ -33,8 +34,11 @@
     /** Announces the node's own record; false when it has to be tried again. */
     std::function<bool(const instance_record &)> announceSelf;
     rate_driver_outputs rates;
+    digest_sender sendDigest;
     claim_sender claims;
     span_sink spans;
+    /** Age of the proof that the configuration in force is the newest; nothing where none is asked for. */
+    std::function<std::optional<duration>()> proofAge;
     /** Methods behind the control calls of peers. */
     std::function<control_methods()> controlMethods;
     /** Called on the data thread when a graceful shutdown is complete. */
@@ -77,9 +81,21 @@
         return m_state.load();
     }
 
+    /** Whether a graceful shutdown began. Any thread. */
+    [[nodiscard]] bool isStopping() const noexcept
+    {
+        return m_stopping.load();
+    }
+
 private:
     void handle(control_event event);
     void handle(operator_event event);
+    [[nodiscard]] boost::asio::awaitable<rate_answer> takeToken(std::string workspace, std::shared_ptr<call_control> control);
+    void handleAnnouncement(const target_announcement &announcement);
+    void handleDeparture(const target_departure &departure);
+    void startDraining(std::string_view reason);
+    [[nodiscard]] std::uint32_t connectionsOf(const std::string &service) const;
+    [[nodiscard]] std::string ownService() const;
     void subscribeTimers();
     void armTimer();
     void updateOwnRecord();
@@ -101,6 +117,7 @@
     target_gateway m_target;
     dispatcher m_dispatcher;
     rate_driver m_rates;
+    fleet_driver m_fleet;
     once_gateway m_once;
     caller_services m_callerServices;
     caller_gateway m_callers;
@@ -110,7 +127,9 @@
     http_server m_egressServer;
     http_server m_peerServer;
     std::atomic<instance_state> m_state{instance_state::Starting};
+    std::atomic<bool> m_stopping{false};
     std::optional<instance_record> m_announced;
+    announcement_history m_targetHistory;
     bool m_targetDraining{false};
     std::optional<time_point> m_shutdownStarted;
     bool m_listenersClosed{false};
--- a/src/ragwortpin/node/events.h
+++ b/src/ragwortpin/node/events.h
@@ -3,7 +3,7 @@
 
 #include "ragwortpin/config/lookup.h"
 #include "ragwortpin/membership/view.h"
-#include "ragwortpin/platform/store.h"
+#include "ragwortpin/store/store.h"
 #include "ragwortpin/rights/rights.h"
 #include "ragwortpin/targets/target_gateway.h"
 
@@ -33,8 +33,15 @@
     std::string payload;
 };
 
+/** Payload of a digest datagram whose signature was checked. */
+struct digest_event
+{
+    std::string sender;
+    std::string payload;
+};
+
 /** What the control thread tells the data thread. */
-using control_event = std::variant<std::monostate, configuration_event, membership_event, loan_event>;
+using control_event = std::variant<std::monostate, configuration_event, membership_event, loan_event, digest_event>;
 
 /** The target leaves. */
 struct drain_event
@@ -45,7 +52,7 @@
 { };
 
 /** What the operators thread tells the data thread. */
-using operator_event = std::variant<std::monostate, target_announcement, drain_event, shutdown_event>;
+using operator_event = std::variant<std::monostate, target_announcement, target_departure, drain_event, shutdown_event>;
 
 /** Reply to a store call of the rate limiter. */
 struct rate_reply_event
--- a/src/ragwortpin/node/node.cpp
+++ b/src/ragwortpin/node/node.cpp
@@ -4,10 +4,11 @@
 #include "ragwortpin/config/serialise.h"
 #include "ragwortpin/node/claims_duty.h"
 #include "ragwortpin/node/data_plane.h"
-#include "ragwortpin/node/platform_duty.h"
+#include "ragwortpin/node/store_duty.h"
+#include "ragwortpin/node/watch_duty.h"
 #include "ragwortpin/operators/admin_server.h"
 #include "ragwortpin/peers/control_duty.h"
-#include "ragwortpin/platform/etcd_client.h"
+#include "ragwortpin/store/client.h"
 #include "ragwortpin/telemetry/span_exporter.h"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -24,6 +25,10 @@
 
 constexpr std::size_t SpanCapacity{4096};
 constexpr seconds SpanFlushInterval{1};
+/** Part of the longest proof age after which peers are asked, so that several rounds of questions fit in. */
+constexpr int ProofAskDivisor{3};
+/** Longest backoff of reads while the store fails, where each moment without a proof costs requests. */
+constexpr unsigned ProofPollBackoff{2};
 /** Time for the last announcement to leave the process. */
 constexpr milliseconds FarewellTime{300};
 
@@ -49,6 +54,14 @@
                    .peersPort = settings.addresses.peers.port,
                    .gossipPort = settings.addresses.gossip.port};
     result.seeds = toPeerAddresses(settings.seeds);
+    const auto &configuration = settings.configuration;
+    result.spread.zonePollInterval = configuration.zonePollInterval;
+    result.spread.startGrace = configuration.startGrace;
+    result.spread.startSpread = configuration.startSpread;
+    if (configuration.longestProofAge > duration::zero()) {
+        result.proof.askAge = configuration.longestProofAge / ProofAskDivisor;
+        result.spread.maxPollBackoff = ProofPollBackoff;
+    }
     result.secrets = {keys.secrets.front(), keys.secrets.size() > 1 ? keys.secrets[1] : std::string{}};
     std::random_device device;
     result.randomSeed = (static_cast<std::uint64_t>(device()) << 32U) | device();
@@ -62,6 +75,24 @@
     return result;
 }
 
+/** Names the parts of the settings that differ. */
+std::vector<std::string> changedSettings(const node_settings &before, const node_settings &after)
+{
+    std::vector<std::string> names;
+    const auto note = [&names](const char *name, bool same) {
+        if (!same) {
+            names.emplace_back(name);
+        }
+    };
+    note("instance", before.instance == after.instance && before.availabilityZone == after.availabilityZone);
+    note("addresses", before.addresses == after.addresses);
+    note("platform", before.platform == after.platform && before.platformTimeout == after.platformTimeout);
+    note("configuration", before.configuration == after.configuration);
+    note("overload", before.overload == after.overload);
+    note("others", !names.empty() || before == after);
+    return names;
+}
+
 std::string describeProblems(const std::vector<config_problem> &problems)
 {
     return std::to_string(problems.size()) + " problems, the first: " + toText(problems.front());
@@ -73,9 +104,10 @@
 class node::duties
 {
 public:
-    duties(node_settings settings, signing_keys keys)
+    duties(node_settings settings, signing_keys keys, node_extensions extensions)
         : m_settings{std::move(settings)}
         , m_keys{std::move(keys)}
+        , m_extensions{std::move(extensions)}
         , m_spans{m_telemetryContext,
                   SpanCapacity,
                   [this](span value) {
@@ -84,9 +116,10 @@
                       }
                   }}
         , m_data{m_settings, m_keys, m_configuration, m_metrics, dataServices()}
-        , m_platform{makeStoreCall({m_settings.platform, m_settings.platformTimeout}), platformOutputs(), m_metrics}
+        , m_store{newStoreCall(), m_extensions.reader, storeDutySettings(), storeOutputs(), m_metrics}
+        , m_watch{newStoreCall(), {.prefix = m_extensions.watchPrefix}, watchOutputs(), m_metrics}
         , m_claims{toClaimSettings(m_settings),
-                   makeStoreCall({m_settings.platform, m_settings.platformTimeout}),
+                   newStoreCall(),
                    [this](claim_reply reply) {
                        if (!m_data.fromClaims.trySend(std::move(reply))) {
                            logEvent(log_level::Warning, "claim_reply_dropped");
@@ -121,7 +154,13 @@
         if (const auto error = m_control.start()) {
             return "cannot open gossip: " + error.message();
         }
-        m_platform.start();
+        if (auto problem = addListeners(); !problem.empty()) {
+            return problem;
+        }
+        m_store.start();
+        if (m_settings.configuration.watch) {
+            m_watch.start();
+        }
         m_claims.start();
         m_adminThread = std::thread{[this] {
             m_adminContext.run();
@@ -137,6 +176,18 @@
         return {};
     }
 
+    std::vector<std::string> reload(const node_settings &settings)
+    {
+        auto seeds = toPeerAddresses(settings.seeds);
+        if (!seeds.empty() && !m_control.setSeeds(std::move(seeds))) {
+            logEvent(log_level::Warning, "seeds_dropped", {{"remedy", "reload the settings again"}});
+        }
+        auto changed = settings;
+        changed.seeds = m_settings.seeds;
+        changed.headers = m_settings.headers;
+        return changed == m_settings ? std::vector<std::string>{} : changedSettings(m_settings, changed);
+    }
+
     void requestShutdown()
     {
         boost::asio::post(m_adminContext, [this] {
@@ -165,9 +216,12 @@
         services.rates.sendMessage = [this](const instance_record &to, std::string payload) {
             m_control.send({to.address, to.gossipPort}, datagram_kind::Loans, std::move(payload));
         };
+        services.sendDigest = [this](const instance_record &to, std::string payload) {
+            m_control.send({to.address, to.gossipPort}, datagram_kind::Digest, std::move(payload));
+        };
         services.rates.callStore = [this](rights_store_call call) {
             const auto token = call.token;
-            if (!m_platform.fromData.trySend(std::move(call))) {
+            if (!m_store.fromData.trySend(std::move(call))) {
                 m_metrics.counterFor("ragwortpin_store_calls_rejected_total").add();
                 logEvent(log_level::Warning, "store_call_rejected", {{"token", std::to_string(token)}});
             }
@@ -180,6 +234,9 @@
                 m_metrics.counterFor("ragwortpin_spans_dropped_total").add();
             }
         };
+        services.proofAge = [this] {
+            return proofAge();
+        };
         services.controlMethods = [this] {
             return m_control.methods();
         };
@@ -190,7 +247,7 @@
         return services;
     }
 
-    platform_duty_outputs platformOutputs()
+    store_duty_outputs storeOutputs()
     {
         return {.headRead =
                     [this](head_reply reply) {
@@ -201,9 +258,101 @@
                         if (!m_data.fromPlatform.trySend(std::move(event))) {
                             logEvent(log_level::Warning, "store_reply_dropped");
                         }
+                    },
+                .discovered =
+                    [this](const discovery_result &result) {
+                        noteDiscovery(result);
+                    }};
+    }
+
+    store_call newStoreCall() const
+    {
+        return makeStoreCall({m_settings.platform, m_settings.platformTimeout, m_extensions.protocol});
+    }
+
+    store_duty_settings storeDutySettings() const
+    {
+        store_duty_settings result;
+        result.discovery.prefix = m_settings.discoveryPrefix;
+        result.discovery.instance = m_settings.instance;
+        result.discovery.self = {m_settings.addresses.gossip.address, m_settings.addresses.gossip.port};
+        std::random_device device;
+        result.randomSeed = device();
+        return result;
+    }
+
+    void noteDiscovery(const discovery_result &result)
+    {
+        if (result.error) {
+            logEvent(log_level::Warning, "discovery_failed", {{"error", result.error.message()}});
+        }
+        if (result.malformed > 0) {
+            logEvent(log_level::Warning, "discovery_entries_malformed", {{"count", std::to_string(result.malformed)}});
+        }
+        if (result.seeds.empty()) {
+            return;
+        }
+        auto seeds = result.seeds;
+        const auto configured = toPeerAddresses(m_settings.seeds);
+        seeds.insert(seeds.end(), configured.begin(), configured.end());
+        if (!m_control.setSeeds(std::move(seeds))) {
+            logEvent(log_level::Warning, "seeds_dropped", {{"remedy", "the next step of discovery repeats them"}});
+        }
+    }
+
+    watch_outputs watchOutputs()
+    {
+        return {.knownRevision =
+                    [this] {
+                        return m_store.lastRevision();
+                    },
+                .isWatcher =
+                    [this] {
+                        return isWatcher();
+                    },
+                .changed =
+                    [this] {
+                        m_control.hintChange();
                     }};
     }
 
+    /** Each zone has a few watchers, so that waiting calls do not grow with the fleet: the first of its instances by name. */
+    bool isWatcher() const
+    {
+        constexpr std::size_t WatchersPerZone{6};
+        std::size_t before{0};
+        for (const auto &member : m_control.membership()->instances) {
+            before += member.availabilityZone == m_settings.availabilityZone && member.name < m_settings.instance ? 1 : 0;
+        }
+        return before < WatchersPerZone;
+    }
+
+    std::string addListeners()
+    {
+        if (!m_extensions.listen) {
+            return {};
+        }
+        auto added = m_extensions.listen(m_adminContext, adminServices(), m_metrics);
+        m_listener = std::move(added.listener);
+        return added.problem;
+    }
+
+    std::optional<duration> proofAge() const
+    {
+        if (m_settings.configuration.longestProofAge <= duration::zero()) {
+            return std::nullopt;
+        }
+        const auto provenAt = m_control.provenAt();
+        return provenAt ? monotonicNow() - *provenAt : duration::max();
+    }
+
+    bool isReady() const
+    {
+        const auto age = proofAge();
+        const bool isProven{!age || *age <= m_settings.configuration.longestProofAge};
+        return isProven && m_configuration.load() != nullptr && !m_data.isStopping();
+    }
+
     control_callbacks controlCallbacks()
     {
         control_callbacks callbacks;
@@ -211,13 +360,16 @@
             return applyConfiguration(content);
         };
         callbacks.readHead = [this](std::uint64_t revisionInForce) {
-            if (!m_platform.fromControl.trySend({revisionInForce})) {
+            if (!m_store.fromControl.trySend({revisionInForce})) {
                 m_control.postHeadReply({std::make_error_code(std::errc::resource_unavailable_try_again), 0, std::nullopt});
             }
         };
         callbacks.handleLoan = [this](const datagram &received, const peer_address &) {
             sendToData(loan_event{received.sender, received.payload});
         };
+        callbacks.handleDigest = [this](const datagram &received) {
+            sendToData(digest_event{received.sender, received.payload});
+        };
         callbacks.membershipChanged = [this](const std::shared_ptr<const membership_view> &view) {
             sendToData(membership_event{view});
         };
@@ -238,6 +390,14 @@
                     [this] {
                         return m_data.fromOperators.trySend(drain_event{});
                     },
+                .depart =
+                    [this](target_departure departure) {
+                        return m_data.fromOperators.trySend(std::move(departure));
+                    },
+                .isReady =
+                    [this] {
+                        return isReady();
+                    },
                 .reportLoad =
                     [this](target_load load) {
                         m_reportedLoad.store(load.inFlight);
@@ -253,7 +413,7 @@
             logEvent(log_level::Error, "configuration_malformed", {{"revision", std::to_string(content.revision)}});
             return false;
         }
-        const auto problems = checkConfiguration(*value);
+        const auto problems = m_extensions.readerChecks ? std::vector<config_problem>{} : checkConfiguration(*value);
         if (!problems.empty()) {
             logEvent(log_level::Error, "configuration_refused", {{"problems", describeProblems(problems)}});
             return false;
@@ -323,8 +483,9 @@
 
     void stop()
     {
+        m_watch.stop();
         m_control.stop();
-        m_platform.stop();
+        m_store.stop();
         m_claims.stop();
         m_data.stop();
         m_adminContext.stop();
@@ -338,6 +499,7 @@
 
     node_settings m_settings;
     signing_keys m_keys;
+    node_extensions m_extensions;
     metrics_registry m_metrics;
     snapshot<configuration_index> m_configuration;
     boost::asio::io_context m_adminContext{1};
@@ -349,17 +511,19 @@
     std::atomic<bool> m_finished{false};
     std::atomic<std::uint32_t> m_reportedLoad{0};
     data_plane m_data;
-    platform_duty m_platform;
+    store_duty m_store;
+    watch_duty m_watch;
     claims_duty m_claims;
     control_duty m_control;
     admin_server m_admin;
+    std::shared_ptr<void> m_listener;
     std::thread m_dataThread;
     std::thread m_adminThread;
     std::thread m_telemetryThread;
 };
 
-node::node(node_settings settings, signing_keys keys)
-    : m_duties{std::make_unique<duties>(std::move(settings), std::move(keys))}
+node::node(node_settings settings, signing_keys keys, node_extensions extensions)
+    : m_duties{std::make_unique<duties>(std::move(settings), std::move(keys), std::move(extensions))}
 { }
 
 node::~node() = default;
@@ -369,6 +533,11 @@
     return m_duties->start();
 }
 
+std::vector<std::string> node::reload(const node_settings &settings)
+{
+    return m_duties->reload(settings);
+}
+
 void node::requestShutdown()
 {
     m_duties->requestShutdown();
--- a/src/ragwortpin/node/settings.cpp
+++ b/src/ragwortpin/node/settings.cpp
@@ -2,11 +2,8 @@
 
 #include "ragwortpin/config/yaml_reader.h"
 
-#include <boost/asio/ip/address.hpp>
-
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <sstream>
 
 namespace ragwortpin {
@@ -126,6 +123,7 @@
     limits.requestBodyBytes = section->readInteger("request_body_bytes", {0, 64 * Mebibyte}, limits.requestBodyBytes);
     limits.responseBodyBytes = section->readInteger("response_body_bytes", {Kibibyte, 256 * Mebibyte}, limits.responseBodyBytes);
     limits.connections = section->readInteger("connections", {1, 65536}, limits.connections);
+    limits.idleTimeout = section->readMilliseconds("idle_timeout_ms", {milliseconds{100}, milliseconds{3'600'000}}, seconds{30});
     section->finish();
 }
 
@@ -164,6 +162,46 @@
     section->finish();
 }
 
+rate_method readRateMethod(yaml_reader &reader)
+{
+    const auto text = reader.readString("rate_method", "slots");
+    if (text != "slots" && text != "shared") {
+        reader.report("rate_method", "'" + text + "' is not a method", "use slots or shared");
+    }
+    return text == "shared" ? rate_method::Shared : rate_method::Slots;
+}
+
+void readOverload(yaml_reader &reader, overload_settings &overload)
+{
+    auto section = reader.readMapping("overload");
+    if (!section) {
+        return;
+    }
+    overload.coldStart = section->readBool("cold_start", overload.coldStart);
+    overload.adaptiveLimit = section->readBool("adaptive_limit", overload.adaptiveLimit);
+    overload.usedSlots = section->readNumber("used_slots", {0.1, 1.0}, overload.usedSlots);
+    overload.longestQueueDelay
+        = section->readMilliseconds("longest_queue_delay_ms", {milliseconds{1}, milliseconds{60'000}}, milliseconds{100});
+    overload.shedsByLevel = section->readBool("shed_by_level", overload.shedsByLevel);
+    overload.repeatsArrivals = section->readBool("repeat_arrivals", overload.repeatsArrivals);
+    section->finish();
+}
+
+void readConfigurationSettings(yaml_reader &reader, configuration_settings &settings)
+{
+    auto section = reader.readMapping("configuration");
+    if (!section) {
+        return;
+    }
+    constexpr milliseconds_range Interval{milliseconds{0}, milliseconds{60'000}};
+    settings.zonePollInterval = section->readMilliseconds("zone_poll_interval_ms", {milliseconds{50}, milliseconds{60'000}}, seconds{1});
+    settings.startGrace = section->readMilliseconds("start_grace_ms", Interval, seconds{1});
+    settings.startSpread = section->readMilliseconds("start_spread_ms", Interval, seconds{2});
+    settings.watch = section->readBool("watch", settings.watch);
+    settings.longestProofAge = section->readMilliseconds("longest_proof_age_ms", Interval, milliseconds{0});
+    section->finish();
+}
+
 log_level readLogLevel(yaml_reader &reader)
 {
     const auto text = reader.readString("log_level", "info");
@@ -181,7 +219,7 @@
 
 } // namespace
 
-node_settings_result parseNodeSettings(const std::string &file, const std::string &text)
+node_settings_result parseNodeSettings(const std::string &file, const std::string &text, const settings_extension &extension)
 {
     node_settings_result result;
     const auto document = loadYaml(file, text, result.problems);
@@ -195,12 +233,21 @@
     readAddresses(reader, settings);
     readPlatform(reader, settings);
     settings.seeds = readEndpoints(reader, "seeds");
-    settings.secretFile = reader.readString("secret_file");
+    settings.networkSecret = reader.readString("network_secret", "");
+    settings.secretFile = settings.networkSecret.empty() ? reader.readString("secret_file") : reader.readString("secret_file", "");
+    settings.service = reader.readString("service", "");
+    settings.discoveryPrefix = reader.readString("discovery_prefix", "");
+    readOverload(reader, settings.overload);
+    readConfigurationSettings(reader, settings.configuration);
+    settings.rateMethod = readRateMethod(reader);
     readLimits(reader, settings.limits);
     readTelemetry(reader, settings);
     readShutdown(reader, settings.shutdown);
     readRates(reader, settings);
     settings.logLevel = readLogLevel(reader);
+    if (extension) {
+        extension(reader, settings);
+    }
     reader.finish();
     return result;
 }
@@ -229,26 +276,4 @@
     return result;
 }
 
-std::optional<endpoint> parseEndpoint(const std::string &text)
-{
-    const auto separator = text.rfind(':');
-    if (separator == std::string::npos) {
-        return std::nullopt;
-    }
-    auto host = text.substr(0, separator);
-    if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
-        host = host.substr(1, host.size() - 2);
-    }
-    boost::system::error_code error;
-    boost::asio::ip::make_address(host, error);
-    std::uint16_t port{0};
-    const auto *first = text.data() + separator + 1;
-    const auto *last = text.data() + text.size();
-    const auto parsed = std::from_chars(first, last, port);
-    if (error || parsed.ec != std::errc{} || parsed.ptr != last || port == 0) {
-        return std::nullopt;
-    }
-    return endpoint{host, port};
-}
-
 } // namespace ragwortpin
--- a/src/ragwortpin/node/settings.h
+++ b/src/ragwortpin/node/settings.h
@@ -2,12 +2,16 @@
 #define RAGWORTPIN_NODE_SETTINGS_H
 
 #include "ragwortpin/config/problem.h"
+#include "ragwortpin/config/yaml_reader.h"
 #include "ragwortpin/core/time.h"
+#include "ragwortpin/http/address.h"
+#include "ragwortpin/http/header_names.h"
 #include "ragwortpin/http/message.h"
 #include "ragwortpin/identity/context.h"
 #include "ragwortpin/node/fwd.h"
 #include "ragwortpin/runtime/logging.h"
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -42,6 +46,50 @@
     bool operator==(const shutdown_settings &) const = default;
 };
 
+/** How workspace rates are kept over the fleet. */
+enum class rate_method : unsigned char {
+    /** Slots of each zone's share, owned through the store and lent through pools. */
+    Slots,
+    /** One bucket for each workspace, of which every node keeps a copy by the reports of the others. */
+    Shared,
+};
+
+/** How a node decides under load. */
+struct overload_settings
+{
+    /** Whether a target that announces itself anew starts with few requests at once. */
+    bool coldStart{true};
+    /** Whether the number of requests at once follows the target's service time; it is the announced slots otherwise. */
+    bool adaptiveLimit{true};
+    /** Part of the announced slots that is used. */
+    double usedSlots{1.0};
+    /** Longest time that a queue of average requests may take to empty. */
+    duration longestQueueDelay{milliseconds{100}};
+    /** Whether the first hop refuses by the shed levels that answers carry. */
+    bool shedsByLevel{true};
+    /** Whether a request that may have arrived at a target is ever sent to another one. */
+    bool repeatsArrivals{true};
+
+    bool operator==(const overload_settings &) const = default;
+};
+
+/** How a node learns of configurations. */
+struct configuration_settings
+{
+    /** Mean time between two reads of the store's head by one availability zone. */
+    duration zonePollInterval{seconds{1}};
+    /** Time that a starting node gives its peers before it reads from the store. */
+    duration startGrace{seconds{1}};
+    /** Time over which the first reads of nodes that start together are spread. */
+    duration startSpread{seconds{2}};
+    /** Whether a watch at the store tells of changes, where its protocol has one. */
+    bool watch{false};
+    /** Age of the proof that the configuration is the newest from which on keys are not accepted; zero accepts them always. */
+    duration longestProofAge{0};
+
+    bool operator==(const configuration_settings &) const = default;
+};
+
 /** Settings of a node. */
 struct node_settings
 {
@@ -56,6 +104,17 @@
     /** Gossip addresses of instances to join first. */
     std::vector<endpoint> seeds;
     std::string secretFile;
+    /** Secret of a network that nobody else reaches, in place of a file; it guards against mixing fleets up and no more. */
+    std::string networkSecret;
+    /** Service of the target beside the node; empty leaves it to the target's announcements. */
+    std::string service;
+    /** Prefix of the nodes' keys in the store, through which they find each other; empty where seeds suffice. */
+    std::string discoveryPrefix;
+    /** Names of header fields; set by the program, not by the file. */
+    header_names headers;
+    overload_settings overload;
+    configuration_settings configuration;
+    rate_method rateMethod{rate_method::Slots};
     http_limits limits;
     /** OTLP/HTTP collector for spans; none when absent. */
     std::optional<endpoint> collector;
@@ -80,8 +139,12 @@
     bool operator==(const node_settings_result &) const = default;
 };
 
+/** Reads the fields that a program adds to the settings. */
+using settings_extension = std::function<void(yaml_reader &reader, node_settings &settings)>;
+
 /** Reads and checks the whole text of a settings file; the file name is used in problems only. */
-[[nodiscard]] node_settings_result parseNodeSettings(const std::string &file, const std::string &text);
+[[nodiscard]] node_settings_result
+parseNodeSettings(const std::string &file, const std::string &text, const settings_extension &extension = {});
 
 /** Secrets that were read, or the problem. */
 struct signing_keys_result
@@ -95,9 +158,6 @@
 /** Reads a secret file: one secret of at least 32 characters a line, the first one signs, the others are accepted too. */
 [[nodiscard]] signing_keys_result parseSigningKeys(const std::string &text);
 
-/** Parses IP:PORT; IPv6 numbers stand in brackets. Nothing when it is none. */
-[[nodiscard]] std::optional<endpoint> parseEndpoint(const std::string &text);
-
 } // namespace ragwortpin
 
 #endif
--- a/src/ragwortpin/node/platform_duty.cpp
+++ b/src/ragwortpin/node/store_duty.cpp
@@ -1,4 +1,4 @@
-#include "ragwortpin/node/platform_duty.h"
+#include "ragwortpin/node/store_duty.h"
 
 #include "ragwortpin/config/publication.h"
 #include "ragwortpin/config/serialise.h"
@@ -33,15 +33,23 @@
     return reply;
 }
 
-platform_duty::platform_duty(store_call call, platform_duty_outputs outputs, metrics_registry &metrics)
+store_duty::store_duty(
+    store_call call, head_reader reader, store_duty_settings settings, store_duty_outputs outputs, metrics_registry &metrics)
     : m_work{m_context.get_executor()}
+    , m_discoveryTimer{m_context}
+    , m_reader{std::move(reader)}
+    , m_settings{std::move(settings)}
+    , m_random{m_settings.randomSeed}
     , m_outputs{std::move(outputs)}
     , m_calls{metrics.counterFor("ragwortpin_store_calls_total")}
     , m_failures{metrics.counterFor("ragwortpin_store_call_failures_total")}
     , fromControl{m_context,
                   HeadRequests,
                   [this](read_head_event event) {
-                      m_outputs.headRead(readHead(m_call, event.revisionInForce));
+                      const auto askedAt = monotonicNow();
+                      auto reply = m_reader(m_call, event.revisionInForce);
+                      reply.askedAt = askedAt;
+                      m_outputs.headRead(std::move(reply));
                   }}
     , fromData{m_context, RateCalls, [this](const rights_store_call &event) {
                    m_outputs.rateReply({event.token, m_call(event.request)});
@@ -52,24 +60,29 @@
         auto reply = inner(request);
         if (reply.error) {
             m_failures.add();
+        } else if (reply.revision > 0) {
+            m_lastRevision.store(reply.revision);
         }
         return reply;
     };
 }
 
-platform_duty::~platform_duty()
+store_duty::~store_duty()
 {
     stop();
 }
 
-void platform_duty::start()
+void store_duty::start()
 {
+    if (!m_settings.discovery.prefix.empty()) {
+        scheduleDiscovery(duration::zero());
+    }
     m_thread = std::thread{[this] {
         m_context.run();
     }};
 }
 
-void platform_duty::stop()
+void store_duty::stop()
 {
     m_context.stop();
     if (m_thread.joinable()) {
@@ -77,4 +90,26 @@
     }
 }
 
+void store_duty::scheduleDiscovery(duration delay)
+{
+    m_discoveryTimer.expires_after(delay);
+    m_discoveryTimer.async_wait([this](boost::system::error_code error) {
+        if (!error) {
+            stepDiscovery();
+        }
+    });
+}
+
+/** A few steps come soon, because nodes that start together write their entries after each other's first step. */
+void store_duty::stepDiscovery()
+{
+    constexpr unsigned EarlySteps{3};
+    const auto result = discover(m_call, m_settings.discovery, m_random);
+    m_outputs.discovered(result);
+    m_discoveries += result.error ? 0 : 1;
+    const auto pause = m_discoveries < EarlySteps ? m_settings.firstDiscovery : m_settings.laterDiscovery;
+    std::uniform_real_distribution<double> factor{0.7, 1.3};
+    scheduleDiscovery(fromSeconds(toSeconds(pause) * factor(m_random)));
+}
+
 } // namespace ragwortpin
--- a/src/ragwortpin/operators/admin_server.h
+++ b/src/ragwortpin/operators/admin_server.h
@@ -45,6 +45,9 @@
     /** Each returns false when the node cannot take the message now; the target repeats it. */
     std::function<bool(target_announcement)> announce;
     std::function<bool()> drain;
+    std::function<bool(target_departure)> depart{};
+    /** Whether callers may be sent here. */
+    std::function<bool()> isReady{};
     std::function<bool(target_load)> reportLoad;
 };
 
--- a/src/ragwortpin/operators/commands.h
+++ b/src/ragwortpin/operators/commands.h
@@ -3,7 +3,7 @@
 
 #include "ragwortpin/operators/command_line.h"
 #include "ragwortpin/operators/fleet_status.h"
-#include "ragwortpin/platform/store.h"
+#include "ragwortpin/store/store.h"
 
 #include <cstddef>
 #include <functional>
--- a/src/ragwortpin/peers/control_duty.cpp
+++ b/src/ragwortpin/peers/control_duty.cpp
@@ -37,6 +37,16 @@
     return m_loop->revision();
 }
 
+std::optional<time_point> control_duty::provenAt() const noexcept
+{
+    return m_loop->provenAt();
+}
+
+bool control_duty::hintChange()
+{
+    return m_loop->post(internal::hint_command{});
+}
+
 control_counters control_duty::counters() const
 {
     return m_loop->counters();
--- a/src/ragwortpin/peers/control_duty.h
+++ b/src/ragwortpin/peers/control_duty.h
@@ -4,11 +4,13 @@
 #include "ragwortpin/membership/protocol.h"
 #include "ragwortpin/peers/control_rpc_jsonrpc.h"
 #include "ragwortpin/peers/datagram.h"
+#include "ragwortpin/spread/proof.h"
 #include "ragwortpin/spread/protocol.h"
 
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <system_error>
 #include <vector>
@@ -30,6 +32,7 @@
     datagram_secrets secrets;
     membership_options membership;
     spread_options spread;
+    proof_options proof;
     /** Seed of the protocols' randomness; different at each node. */
     std::uint64_t randomSeed{0};
 
@@ -48,6 +51,8 @@
     std::function<void(std::uint64_t revisionInForce)> readHead;
     /** Handles the payload of a datagram of kind Loans. */
     std::function<void(const datagram &received, const peer_address &from)> handleLoan;
+    /** Handles the payload of a datagram of kind Digest. */
+    std::function<void(const datagram &received)> handleDigest;
     /** Told of each new membership snapshot; may be empty. */
     std::function<void(const std::shared_ptr<const membership_view> &)> membershipChanged;
 };
@@ -101,6 +106,12 @@
     /** Revision in force; 0 for none. */
     [[nodiscard]] std::uint64_t revisionInForce() const noexcept;
 
+    /** Instant at which the configuration in force was the newest for certain; nothing before the first proof. */
+    [[nodiscard]] std::optional<time_point> provenAt() const noexcept;
+
+    /** Has the store's head read at once, because something hints at a change. */
+    bool hintChange();
+
     /** Counters, at most a tick old. */
     [[nodiscard]] control_counters counters() const;
 
--- a/src/ragwortpin/peers/control_loop.cpp
+++ b/src/ragwortpin/peers/control_loop.cpp
@@ -54,6 +54,7 @@
     const auto now = monotonicNow();
     m_membership = startMembership(now, m_settings.membership, m_settings.self, m_settings.seeds, m_random);
     m_spread = startSpread(now, m_settings.spread, m_settings.self.peersPort, m_random);
+    m_proof.options = m_settings.proof;
     m_view.store(std::make_shared<const membership_view>(membershipView(m_membership)));
 }
 
@@ -169,6 +170,9 @@
     for (const auto &output : actions.messages) {
         sendDatagram(output.to, datagram_kind::Spread, encode(output.message));
     }
+    for (const auto &output : tickProof(m_proof, now, peers, m_random)) {
+        sendDatagram(output.to, datagram_kind::Proof, encode(output.message));
+    }
     if (actions.pull) {
         startPull(*actions.pull);
     }
@@ -226,9 +230,12 @@
     } else if (auto *seeds = std::get_if<seeds_command>(&value)) {
         ragwortpin::setSeeds(m_membership, std::move(seeds->seeds));
     } else if (const auto *head = std::get_if<head_command>(&value)) {
-        accept(handleHeadReply(m_spread, now, ownZoneSize(m_membership), head->reply, m_random));
+        handleHead(head->reply);
     } else if (const auto *pull = std::get_if<pull_command>(&value)) {
         accept(handlePullReply(m_spread, now, pull->reply));
+    } else if (std::holds_alternative<hint_command>(value)) {
+        ragwortpin::hintChange(m_spread, now);
+        tick(now);
     } else if (auto *send = std::get_if<send_command>(&value)) {
         sendDatagram(send->to, send->kind, std::move(send->payload));
     }
@@ -251,6 +258,14 @@
             m_callbacks.handleLoan(received, from);
         }
         break;
+    case datagram_kind::Proof:
+        receiveProof(received, from);
+        break;
+    case datagram_kind::Digest:
+        if (m_callbacks.handleDigest) {
+            m_callbacks.handleDigest(received);
+        }
+        break;
     }
 }
 
@@ -277,6 +292,41 @@
     noteRevision(received.sender, message->revision, received.availabilityZone, {from.address, message->peersPort});
 }
 
+void control_loop::receiveProof(const datagram &received, const peer_address &from)
+{
+    const auto message = decodeProofMessage(received.payload);
+    if (!message) {
+        ++m_messagesMalformed;
+        return;
+    }
+    if (message->isAnswer) {
+        handleProofAnswer(m_proof, *message, m_spread.inForce.revision);
+        publishProof();
+        return;
+    }
+    if (const auto answer = answerProof(m_proof, *message, m_spread.inForce.revision, monotonicNow())) {
+        sendDatagram(from, datagram_kind::Proof, encode(*answer));
+    }
+}
+
+/** A read of the store proves the revision in force only once the content that it brought is in force. */
+void control_loop::handleHead(const head_reply &reply)
+{
+    accept(handleHeadReply(m_spread, monotonicNow(), ownZoneSize(m_membership), reply, m_random));
+    const bool proves{!reply.error && reply.askedAt && reply.revision > 0 && reply.revision <= m_spread.inForce.revision};
+    if (proves) {
+        noteProven(m_proof, *reply.askedAt);
+        publishProof();
+    }
+}
+
+void control_loop::publishProof()
+{
+    if (m_proof.provenAt) {
+        m_provenAt.store(m_proof.provenAt->time_since_epoch().count(), std::memory_order_relaxed);
+    }
+}
+
 void control_loop::noteRevision(const std::string &peer, std::uint64_t revision, const std::string &zone, const peer_address &control)
 {
     const auto now = monotonicNow();
--- a/src/ragwortpin/peers/control_loop.h
+++ b/src/ragwortpin/peers/control_loop.h
@@ -54,8 +54,12 @@
     std::string payload;
 };
 
+/** Hint that the store's head may have changed. */
+struct hint_command
+{ };
+
 /** What other threads ask of the duty; empty only in unused places of the ring. */
-using command = std::variant<std::monostate, record_command, seeds_command, head_command, pull_command, send_command>;
+using command = std::variant<std::monostate, record_command, seeds_command, head_command, pull_command, send_command, hint_command>;
 
 /** The control duty itself: its thread, its protocols and what it shares with other threads. */
 class control_loop
@@ -83,6 +87,11 @@
     {
         return m_revision.load(std::memory_order_relaxed);
     }
+    [[nodiscard]] std::optional<time_point> provenAt() const noexcept
+    {
+        const auto at = m_provenAt.load(std::memory_order_relaxed);
+        return at == 0 ? std::nullopt : std::optional{time_point{duration{at}}};
+    }
     [[nodiscard]] control_counters counters() const;
 
 private:
@@ -96,6 +105,9 @@
     void receive(datagram &&received, const peer_address &from);
     void receiveMembership(const datagram &received, const peer_address &from);
     void receiveSpread(const datagram &received, const peer_address &from);
+    void receiveProof(const datagram &received, const peer_address &from);
+    void handleHead(const head_reply &reply);
+    void publishProof();
     void noteRevision(const std::string &peer, std::uint64_t revision, const std::string &zone, const peer_address &control);
     void sendAll(const std::vector<membership_output> &outputs);
     void sendDatagram(const peer_address &to, datagram_kind kind, std::string payload);
@@ -112,6 +124,7 @@
     udp_channel m_channel;
     membership_state m_membership;
     spread_state m_spread;
+    proof_state m_proof;
     std::uint64_t m_publishedVersion{0};
     std::uint64_t m_messagesMalformed{0};
 
@@ -121,6 +134,8 @@
     std::atomic<std::shared_ptr<const membership_view>> m_view;
     std::atomic<spread_status> m_status{spread_status::Loading};
     std::atomic<std::uint64_t> m_revision{0};
+    /** Microseconds of proof_state::provenAt; 0 before the first proof. */
+    std::atomic<duration::rep> m_provenAt{0};
     mutable std::mutex m_sharedMutex;
     control_counters m_counters;
     /** Copy of the spread's contents for answers to peers on other threads. */
--- a/src/ragwortpin/peers/datagram.cpp
+++ b/src/ragwortpin/peers/datagram.cpp
@@ -50,7 +50,7 @@
 
 bool isKnownKind(std::uint8_t kind)
 {
-    return kind >= static_cast<std::uint8_t>(datagram_kind::Membership) && kind <= static_cast<std::uint8_t>(datagram_kind::Loans);
+    return kind >= static_cast<std::uint8_t>(datagram_kind::Membership) && kind <= static_cast<std::uint8_t>(datagram_kind::Digest);
 }
 
 datagram_result decode(const msgpack::object &envelope)
--- a/src/ragwortpin/peers/datagram.h
+++ b/src/ragwortpin/peers/datagram.h
@@ -31,6 +31,8 @@
     Membership = 1,
     Spread = 2,
     Loans = 3,
+    Proof = 4,
+    Digest = 5,
 };
 
 /**
--- a/src/ragwortpin/peers/forward_gateway.cpp
+++ b/src/ragwortpin/peers/forward_gateway.cpp
@@ -8,23 +8,19 @@
 
 namespace {
 
-const route *findRouteByName(const configuration_index &index, const std::string &name)
+/** The part of the route that the last hop needs. The first hop chose it by its configuration, which may be another revision. */
+route toRoute(const request_context &context)
 {
-    const auto &routes = index.value.routes;
-    const auto found = std::lower_bound(routes.begin(), routes.end(), name, [](const route &left, const std::string &right) {
-        return left.name < right;
-    });
-    return found != routes.end() && found->name == name ? &*found : nullptr;
+    route definition;
+    definition.name = context.route;
+    definition.service = context.service;
+    return definition;
 }
 
 } // namespace
 
-forward_gateway::forward_gateway(dispatcher_identity self,
-                                 const snapshot<configuration_index> &configuration,
-                                 local_runner runLocally,
-                                 metrics_registry &metrics)
+forward_gateway::forward_gateway(dispatcher_identity self, local_runner runLocally, metrics_registry &metrics)
     : m_self{std::move(self)}
-    , m_configuration{configuration}
     , m_runLocally{std::move(runLocally)}
     , m_calls{metrics.counterFor("ragwortpin_forwarded_calls_total{context=\"valid\"}")}
     , m_invalid{metrics.counterFor("ragwortpin_forwarded_calls_total{context=\"invalid\"}")}
@@ -38,19 +34,11 @@
         co_return makeRefusal(refusal_kind::ContextInvalid, outcome::NotRun);
     }
     m_calls.add();
-    const auto index = m_configuration.load();
-    const auto *definition = index ? findRouteByName(*index, verified.context.route) : nullptr;
-    if (definition == nullptr) {
-        auto refused
-            = refuseCall(index ? refusal_kind::UnknownRoute : refusal_kind::NotReady, outcome::NotRun, verified.context.retryAllowance);
-        writeAnswerFields(refused);
-        co_return std::move(refused.response);
-    }
     removeInternalFields(request);
     removeHopByHopFields(request);
     inbound_call call{.request = std::move(request),
                       .context = verified.context,
-                      .definition = *definition,
+                      .definition = toRoute(verified.context),
                       .deadline = deadlineAfter(verified.context.remaining, monotonicNow()),
                       .control = std::move(control)};
     auto answer = co_await m_runLocally(std::move(call));
--- a/src/ragwortpin/peers/forward_gateway.h
+++ b/src/ragwortpin/peers/forward_gateway.h
@@ -1,11 +1,9 @@
 #ifndef RAGWORTPIN_PEERS_FORWARD_GATEWAY_H
 #define RAGWORTPIN_PEERS_FORWARD_GATEWAY_H
 
-#include "ragwortpin/config/lookup.h"
 #include "ragwortpin/dispatch/call.h"
 #include "ragwortpin/dispatch/dispatcher.h"
 #include "ragwortpin/runtime/metrics.h"
-#include "ragwortpin/runtime/snapshot.h"
 
 #include <utility>
 
@@ -20,17 +18,13 @@
 class forward_gateway
 {
 public:
-    forward_gateway(dispatcher_identity self,
-                    const snapshot<configuration_index> &configuration,
-                    local_runner runLocally,
-                    metrics_registry &metrics);
+    forward_gateway(dispatcher_identity self, local_runner runLocally, metrics_registry &metrics);
 
     /** Serves one forwarded call. */
     [[nodiscard]] boost::asio::awaitable<http_response> serve(http_request request, std::shared_ptr<call_control> control);
 
 private:
     dispatcher_identity m_self;
-    const snapshot<configuration_index> &m_configuration;
     local_runner m_runLocally;
     counter &m_calls;
     counter &m_invalid;
--- /dev/null
+++ b/src/ragwortpin/rates/shared_rates.h
@@ -0,0 +1,154 @@
+#ifndef RAGWORTPIN_RATES_SHARED_RATES_H
+#define RAGWORTPIN_RATES_SHARED_RATES_H
+
+#include "ragwortpin/config/model.h"
+#include "ragwortpin/core/string_hash.h"
+#include "ragwortpin/core/time.h"
+#include "ragwortpin/rates/fwd.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace ragwortpin {
+
+/** Settings of the shared buckets. All nodes of a fleet use the same ones. */
+struct shared_rate_options
+{
+    /** Age of a peer's report from which on its share is set aside, since it may spend it unseen. */
+    duration stale{milliseconds{1200}};
+    /** Age from which on a peer counts as gone. A node that hears nobody stops accepting keys well before. */
+    duration forget{seconds{12}};
+    /** Time over which the demand is averaged. */
+    duration demandMemory{seconds{1}};
+    /** Part of the burst that a node which just started takes to be left; what was spent before it cannot know. */
+    double startFraction{0.1};
+    /** Part of the burst that has to be left for a request beyond the node's own allowance. */
+    double plenty{0.25};
+
+    bool operator==(const shared_rate_options &) const = default;
+};
+
+/** What one node admitted of one workspace. */
+struct workspace_usage
+{
+    /** Identifies the workspace; see workspaceId(). */
+    std::uint32_t workspace{0};
+    /** Requests admitted since the node started. */
+    std::uint64_t admitted{0};
+    /** Smoothed requests a second that asked, admitted or not. */
+    double demand{0.0};
+
+    bool operator==(const workspace_usage &) const = default;
+};
+
+/** What one node admitted of every workspace that was active of late. */
+struct usage_report
+{
+    std::string instance;
+    /** Differs between two processes of the same instance. */
+    std::uint64_t incarnation{0};
+    /** Grows with each report of an incarnation. */
+    std::uint64_t sequence{0};
+    std::vector<workspace_usage> usages;
+
+    bool operator==(const usage_report &) const = default;
+};
+
+/** The copy that one node keeps of a workspace's bucket. */
+struct shared_bucket
+{
+    double rate{0.0};
+    double burst{0.0};
+    /** Tokens left as far as this node knows; negative after several nodes spent the same ones. */
+    double level{0.0};
+    /** Part of the rate that is set aside for peers that were not heard of late. */
+    double staleShare{0.0};
+    time_point updatedAt{};
+    /** Tokens that this node may spend until the next tick. */
+    double allowance{0.0};
+    /** Whether a request beyond the allowance was admitted since the last tick. */
+    bool borrowed{false};
+    /** Own requests since the start, admitted ones, and those since the last tick. */
+    std::uint64_t admitted{0};
+    std::uint64_t asked{0};
+    /** Own smoothed demand, in requests a second. */
+    double demand{0.0};
+    /** Smoothed demand of all nodes together, as of the last tick. */
+    double fleetDemand{0.0};
+
+    bool operator==(const shared_bucket &) const = default;
+};
+
+/** What was heard of one workspace from one peer. */
+struct peer_usage
+{
+    std::uint64_t admitted{0};
+    double demand{0.0};
+
+    bool operator==(const peer_usage &) const = default;
+};
+
+/** What was heard from one peer. */
+struct peer_reports
+{
+    std::uint64_t incarnation{0};
+    std::uint64_t sequence{0};
+    time_point heardAt{};
+    std::unordered_map<std::uint32_t, peer_usage> usages;
+
+    bool operator==(const peer_reports &) const = default;
+};
+
+/**
+ * Workspace rates kept by all nodes together. Each node keeps a copy of every bucket, takes off what it admits at once and what
+ * others admitted when they report it, and spends its part of what is left by its part of the demand. Nodes may spend the same
+ * tokens within the time that reports take; the copies then go below zero and nothing is admitted until they are refilled, so
+ * that over a window the rate and burst hold. What a peer that is not heard from may spend is set aside.
+ */
+struct shared_rates
+{
+    shared_rate_options options;
+    std::unordered_map<std::uint32_t, shared_bucket> buckets;
+    string_table<peer_reports> peers;
+    time_point lastTick{};
+};
+
+/** Whether a request may run. */
+struct rate_decision
+{
+    bool admitted{false};
+    /** Whether the next tick may admit it, because the fleet as a whole asks for less than the rate. */
+    bool mayWait{false};
+    /** When a token is likely; meaningful when not admitted. */
+    duration retryAfter{0};
+
+    bool operator==(const rate_decision &) const = default;
+};
+
+/** Identifies a workspace in reports by a hash of its name. */
+[[nodiscard]] std::uint32_t workspaceId(std::string_view name) noexcept;
+
+/** Starts without any limits. */
+[[nodiscard]] shared_rates makeSharedRates(const shared_rate_options &options, time_point now);
+
+/** Takes over the rates of a configuration. Buckets of workspaces that stay keep their level. */
+void applyLimits(shared_rates &state, const std::vector<workspace> &workspaces, time_point now);
+
+/** Takes over a report of a peer; one that was overtaken is ignored. */
+void noteReport(shared_rates &state, const usage_report &report, time_point now);
+
+/** Closes an interval: refills, sets aside, and works out what this node may spend until the next one. */
+void tickRates(shared_rates &state, time_point now);
+
+/** What this node admitted, for its report; workspaces that were not active for some seconds are left out. */
+[[nodiscard]] std::vector<workspace_usage> ownUsages(const shared_rates &state);
+
+/** Decides on a request of a workspace. One without a limit is always admitted. */
+[[nodiscard]] rate_decision takeToken(shared_rates &state, std::string_view workspaceName, time_point now);
+
+} // namespace ragwortpin
+
+#endif
--- a/src/ragwortpin/retries/retries.cpp
+++ b/src/ragwortpin/retries/retries.cpp
@@ -17,6 +17,7 @@
     case refusal_kind::NotReady:
     case refusal_kind::NoInstance:
     case refusal_kind::AnswerLost:
+    case refusal_kind::ContextInvalid:
         return true;
     default:
         return false;
@@ -45,6 +46,9 @@
     if (attempt.refusal == refusal_kind::Overloaded && attempt.earlierOverloads > 0) {
         return retry_verdict::OverloadedTwice;
     }
+    if (attempt.arrivals >= attempt.mostArrivals) {
+        return retry_verdict::AttemptsSpent;
+    }
     return attempt.remaining > attempt.expected ? retry_verdict::Retry : retry_verdict::DeadlineTooNear;
 }
 
@@ -100,13 +104,14 @@
     if (verdict != retry_verdict::Retry) {
         return verdict;
     }
-    if (budget.tokens < 1.0) {
+    const double price{attempt.arrivals == 0 ? 0.0 : 1.0};
+    if (budget.tokens < price) {
         return retry_verdict::BudgetSpent;
     }
     if (!spendRetry(escrow)) {
         return retry_verdict::AllowanceSpent;
     }
-    budget.tokens -= 1.0;
+    budget.tokens -= price;
     return retry_verdict::Retry;
 }
 
--- a/src/ragwortpin/retries/retries.h
+++ b/src/ragwortpin/retries/retries.h
@@ -6,6 +6,7 @@
 #include "ragwortpin/retries/allowance.h"
 #include "ragwortpin/retries/fwd.h"
 
+#include <limits>
 #include <optional>
 
 namespace ragwortpin {
@@ -22,10 +23,13 @@
     bool operator==(const retry_budget &) const = default;
 };
 
+/** Most retries that a node saves up for a service where the settings do not say. */
+inline constexpr double DefaultBudgetCapacity{10.0};
+
 /** Makes a full budget with the ratio of the service. */
-[[nodiscard]] constexpr retry_budget makeBudget(double ratio) noexcept
+[[nodiscard]] constexpr retry_budget makeBudget(double ratio, double capacity = DefaultBudgetCapacity) noexcept
 {
-    return retry_budget{ratio, 10.0, 10.0};
+    return retry_budget{ratio, capacity, capacity};
 }
 
 /** Records a first attempt at the service. */
@@ -43,6 +47,10 @@
     bool retryable{false};
     /** Whether the route runs a request at most once. */
     bool once{false};
+    /** Targets that this and earlier attempts of the hop may have arrived at. */
+    unsigned arrivals{1};
+    /** Most targets that the request may be sent to. */
+    unsigned mostArrivals{std::numeric_limits<unsigned>::max()};
     /** Overload refusals that earlier attempts of this hop for this request met. */
     unsigned earlierOverloads{0};
     /** Time until the deadline. */
@@ -65,11 +73,16 @@
     /** One other instance was tried after an overload refusal already. */
     OverloadedTwice,
     DeadlineTooNear,
+    /** The request was sent to as many targets as its route allows. */
+    AttemptsSpent,
     AllowanceSpent,
     BudgetSpent,
 };
 
-/** Decides on a retry; on Retry, one retry of the escrow and one token of the budget are spent. */
+/**
+ * Decides on a retry; on Retry, one retry of the escrow and one token of the budget are spent. An attempt that arrived at no
+ * target costs no token, since the target gets the retry as its first.
+ */
 [[nodiscard]] retry_verdict mayRetry(const failed_attempt &attempt, retry_escrow &escrow, retry_budget &budget) noexcept;
 
 } // namespace ragwortpin
--- a/src/ragwortpin/rights/rights.h
+++ b/src/ragwortpin/rights/rights.h
@@ -4,7 +4,7 @@
 #include "ragwortpin/config/model.h"
 #include "ragwortpin/core/time.h"
 #include "ragwortpin/membership/view.h"
-#include "ragwortpin/platform/store.h"
+#include "ragwortpin/store/store.h"
 #include "ragwortpin/rights/bucket.h"
 #include "ragwortpin/rights/fwd.h"
 #include "ragwortpin/rights/messages.h"
--- a/src/ragwortpin/rights/slots.h
+++ b/src/ragwortpin/rights/slots.h
@@ -3,7 +3,7 @@
 
 #include "ragwortpin/config/model.h"
 #include "ragwortpin/core/time.h"
-#include "ragwortpin/platform/store.h"
+#include "ragwortpin/store/store.h"
 #include "ragwortpin/rights/apportion.h"
 #include "ragwortpin/rights/errors.h"
 #include "ragwortpin/rights/fwd.h"
--- a/src/ragwortpin/runtime/logging.cpp
+++ b/src/ragwortpin/runtime/logging.cpp
@@ -1,18 +1,36 @@
 #include "ragwortpin/runtime/logging.h"
 
+#include "ragwortpin/core/time.h"
+
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <cstdio>
+#include <ctime>
 #include <memory>
-#include <sstream>
+#include <mutex>
+#include <thread>
+#include <utility>
+#include <vector>
 
 namespace ragwortpin {
 
 namespace {
 
-constexpr auto *LinePattern = LOG4CPLUS_TEXT("%D{%Y-%m-%dT%H:%M:%S.%q}Z %-5p %m%n");
+constexpr auto *LinePattern = LOG4CPLUS_TEXT("%m%n");
+
+/** Lines that wait at most; ordinary ones leave room for important ones. */
+constexpr std::size_t QueuedLines{2048};
+constexpr std::size_t QueuedOrdinaryLines{512};
+
+/** Time between two batches, which bounds the wake-ups of the writer. */
+constexpr milliseconds BatchInterval{200};
 
 log4cplus::LogLevel toLog4cplus(log_level level) noexcept
 {
@@ -27,40 +45,234 @@
     return log4cplus::ERROR_LOG_LEVEL;
 }
 
-void appendQuoted(std::ostream &out, std::string_view value)
+const char *nameOf(log_level level) noexcept
+{
+    switch (level) {
+    case log_level::Info:
+        return " INFO ";
+    case log_level::Warning:
+        return " WARN ";
+    case log_level::Error:
+        break;
+    }
+    return " ERROR ";
+}
+
+void appendTime(std::string &line)
 {
-    out << '"';
+    const auto now = wallClockNow();
+    const auto whole = std::chrono::floor<seconds>(now);
+    const std::time_t time{whole.count()};
+    std::tm parts{};
+    gmtime_r(&time, &parts);
+    constexpr std::size_t TextSize{40};
+    std::array<char, TextSize> text{};
+    const auto size = std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+    line.append(text.data(), size);
+    const auto fraction = std::chrono::duration_cast<milliseconds>(now - whole).count();
+    const auto digits = std::snprintf(text.data(), text.size(), ".%03dZ", static_cast<int>(fraction));
+    line.append(text.data(), digits > 0 ? static_cast<std::size_t>(digits) : 0);
+}
+
+void appendQuoted(std::string &line, std::string_view value)
+{
+    line.push_back('"');
     for (const auto character : value) {
         const bool printable = character >= ' ' && character != '\x7f';
         if (character == '"' || character == '\\') {
-            out << '\\';
+            line.push_back('\\');
+        }
+        line.push_back(printable ? character : '?');
+    }
+    line.push_back('"');
+}
+
+std::string formatLine(log_level level, std::string_view event, std::initializer_list<log_field> fields)
+{
+    constexpr std::size_t UsualLine{192};
+    std::string line;
+    line.reserve(UsualLine);
+    appendTime(line);
+    line.append(nameOf(level));
+    line.append(event);
+    for (const auto &field : fields) {
+        line.push_back(' ');
+        line.append(field.key);
+        line.push_back('=');
+        appendQuoted(line, field.value);
+    }
+    return line;
+}
+
+/** A line with its severity, as it waits. */
+struct queued_line
+{
+    log_level level{log_level::Info};
+    std::string text;
+};
+
+/** Queue between the threads of the process and the writer. */
+class log_writer
+{
+public:
+    explicit log_writer(log_level lowest)
+        : m_lowest{lowest}
+        , m_thread{[this] {
+            run();
+        }}
+    { }
+
+    ~log_writer()
+    {
+        {
+            const std::lock_guard lock{m_mutex};
+            m_isStopping = true;
+        }
+        m_changed.notify_all();
+        m_thread.join();
+    }
+
+    log_writer(const log_writer &) = delete;
+    log_writer &operator=(const log_writer &) = delete;
+
+    void queue(log_level level, log_weight weight, std::string_view event, std::initializer_list<log_field> fields)
+    {
+        if (level < m_lowest) {
+            return;
+        }
+        auto &lost = weight == log_weight::Ordinary ? m_lostOrdinary : m_lostImportant;
+        const auto room = weight == log_weight::Ordinary ? QueuedOrdinaryLines : QueuedLines;
+        if (m_size.load(std::memory_order_relaxed) >= room) {
+            lost.fetch_add(1, std::memory_order_relaxed);
+            return;
+        }
+        auto text = formatLine(level, event, fields);
+        bool wasEmpty{false};
+        {
+            const std::lock_guard lock{m_mutex};
+            wasEmpty = m_lines.empty();
+            m_lines.push_back({level, std::move(text)});
+            m_size.store(m_lines.size(), std::memory_order_relaxed);
+        }
+        if (wasEmpty) {
+            m_changed.notify_one();
+        }
+    }
+
+    void flush()
+    {
+        const std::lock_guard writing{m_writeMutex};
+        std::vector<queued_line> batch;
+        {
+            const std::lock_guard lock{m_mutex};
+            batch.swap(m_lines);
+            m_size.store(0, std::memory_order_relaxed);
+        }
+        auto root = log4cplus::Logger::getRoot();
+        for (const auto &line : batch) {
+            root.log(toLog4cplus(line.level), line.text);
+        }
+        writeLosses(root);
+        std::fflush(stdout);
+    }
+
+    [[nodiscard]] log_losses losses() const noexcept
+    {
+        return {m_lostOrdinary.load(std::memory_order_relaxed), m_lostImportant.load(std::memory_order_relaxed)};
+    }
+
+private:
+    void run()
+    {
+        for (;;) {
+            {
+                std::unique_lock lock{m_mutex};
+                m_changed.wait(lock, [this] {
+                    return m_isStopping || !m_lines.empty();
+                });
+                if (m_isStopping) {
+                    break;
+                }
+                m_changed.wait_for(lock, BatchInterval, [this] {
+                    return m_isStopping;
+                });
+            }
+            flush();
+        }
+        flush();
+    }
+
+    void writeLosses(log4cplus::Logger &root)
+    {
+        const auto now = losses();
+        if (now == m_reported) {
+            return;
         }
-        out << (printable ? character : '?');
+        m_reported = now;
+        root.log(log4cplus::WARN_LOG_LEVEL,
+                 formatLine(log_level::Warning,
+                            "log_lines_left_out",
+                            {{"ordinary", std::to_string(now.ordinary)}, {"important", std::to_string(now.important)}}));
     }
-    out << '"';
+
+    log_level m_lowest;
+    std::mutex m_mutex;
+    std::mutex m_writeMutex;
+    std::condition_variable m_changed;
+    std::vector<queued_line> m_lines;
+    std::atomic<std::size_t> m_size{0};
+    std::atomic<std::uint64_t> m_lostOrdinary{0};
+    std::atomic<std::uint64_t> m_lostImportant{0};
+    log_losses m_reported;
+    bool m_isStopping{false};
+    std::thread m_thread;
+};
+
+std::unique_ptr<log_writer> &writer()
+{
+    static std::unique_ptr<log_writer> instance;
+    return instance;
 }
 
 } // namespace
 
 void initialiseLogging(log_level lowest)
 {
-    log4cplus::SharedAppenderPtr appender{new log4cplus::ConsoleAppender{true, true}};
+    constexpr bool ToStandardError{false};
+    constexpr bool FlushEachLine{false};
+    log4cplus::SharedAppenderPtr appender{new log4cplus::ConsoleAppender{ToStandardError, FlushEachLine}};
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>(LinePattern));
     auto root = log4cplus::Logger::getRoot();
     root.removeAllAppenders();
     root.addAppender(appender);
-    root.setLogLevel(toLog4cplus(lowest));
+    root.setLogLevel(log4cplus::INFO_LOG_LEVEL);
+    writer() = std::make_unique<log_writer>(lowest);
 }
 
 void logEvent(log_level level, std::string_view event, std::initializer_list<log_field> fields)
 {
-    std::ostringstream line;
-    line << event;
-    for (const auto &field : fields) {
-        line << ' ' << field.key << '=';
-        appendQuoted(line, field.value);
+    if (writer()) {
+        writer()->queue(level, log_weight::Important, event, fields);
+    }
+}
+
+void logDecision(log_weight weight, std::string_view event, std::initializer_list<log_field> fields)
+{
+    if (writer()) {
+        writer()->queue(log_level::Info, weight, event, fields);
+    }
+}
+
+log_losses logLosses() noexcept
+{
+    return writer() ? writer()->losses() : log_losses{};
+}
+
+void flushLog()
+{
+    if (writer()) {
+        writer()->flush();
     }
-    log4cplus::Logger::getRoot().log(toLog4cplus(level), line.str());
 }
 
 } // namespace ragwortpin
--- a/src/ragwortpin/spread/fwd.h
+++ b/src/ragwortpin/spread/fwd.h
@@ -6,6 +6,10 @@
 struct configuration_content;
 struct content_patch;
 struct spread_message;
+struct proof_options;
+struct proof_message;
+struct proof_output;
+struct proof_state;
 struct spread_output;
 struct spread_options;
 struct spread_counters;
--- a/src/ragwortpin/spread/protocol.cpp
+++ b/src/ragwortpin/spread/protocol.cpp
@@ -229,7 +229,8 @@
     state.pollFailed = false;
     state.pollBackoff = 1;
     state.isStoreEmpty = reply.revision == 0;
-    state.nextPoll = now + drawPollInterval(state, zoneSize, random);
+    state.nextPoll = state.isHinted ? now : now + drawPollInterval(state, zoneSize, random);
+    state.isHinted = false;
     state.provenRevision = std::max(state.provenRevision, reply.revision);
     if (!reply.content || !isIntact(*reply.content) || !isAcceptable(state, reply.content->revision)) {
         return std::nullopt;
@@ -238,6 +239,12 @@
     return reply.content;
 }
 
+void hintChange(spread_state &state, time_point now)
+{
+    state.isHinted = state.isPolling;
+    state.nextPoll = std::min(state.nextPoll, now);
+}
+
 void noteApplied(spread_state &state, time_point now, configuration_content content)
 {
     if (content.revision <= state.inForce.revision) {
--- a/src/ragwortpin/spread/protocol.h
+++ b/src/ragwortpin/spread/protocol.h
@@ -53,6 +53,9 @@
 [[nodiscard]] std::optional<configuration_content>
 handleHeadReply(spread_state &state, time_point now, std::size_t zoneSize, const head_reply &reply, std::mt19937_64 &random);
 
+/** Has the store's head read at the next tick, because something hints at a change. */
+void hintChange(spread_state &state, time_point now);
+
 /** Notes that content is now in force. Lower revisions than the present one are ignored. */
 void noteApplied(spread_state &state, time_point now, configuration_content content);
 
--- a/src/ragwortpin/spread/state.h
+++ b/src/ragwortpin/spread/state.h
@@ -98,6 +98,8 @@
     /** Revision of the head; 0 when nothing was published. */
     std::uint64_t revision{0};
     std::optional<configuration_content> content;
+    /** Instant before the store was asked; the reply proves what was newest then. */
+    std::optional<time_point> askedAt{};
 
     bool operator==(const head_reply &) const = default;
 };
@@ -149,6 +151,8 @@
     /** Whether to ask for whole content next, because a patch did not fit. */
     bool pullWhole{false};
     bool isPolling{false};
+    /** Whether a change was hinted at after the read under way began, which may have missed it. */
+    bool isHinted{false};
     time_point pollDeadline{};
     time_point nextPoll{};
     unsigned pollBackoff{1};
--- a/src/ragwortpin/platform/etcd_client.cpp
+++ b/src/ragwortpin/store/client.cpp
@@ -1,8 +1,7 @@
-#include "ragwortpin/platform/etcd_client.h"
+#include "ragwortpin/store/client.h"
 
 #include "ragwortpin/http/client_pool.h"
-#include "ragwortpin/platform/error.h"
-#include "ragwortpin/platform/etcd_codec.h"
+#include "ragwortpin/store/error.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -20,12 +19,14 @@
 /** Largest answer: a range over values of a megabyte each, in base64. */
 constexpr std::uint64_t AnswerBytes{16UL * 1024 * 1024};
 
-http_request makeHttpRequest(const endpoint &server, const etcd_call &call)
+http_request makeHttpRequest(const endpoint &server, const store_message &call)
 {
     constexpr unsigned Http11{11};
-    http_request request{http::verb::post, call.path, Http11};
+    http_request request{call.method, call.target, Http11};
     request.set(http::field::host, server.address + ":" + std::to_string(server.port));
-    request.set(http::field::content_type, "application/json");
+    if (!call.body.empty()) {
+        request.set(http::field::content_type, "application/json");
+    }
     request.body() = call.body;
     request.prepare_payload();
     return request;
@@ -39,31 +40,32 @@
 }
 
 /** Names the failure of an exchange that was sent. */
-platform_errc failureAfterSending(const boost::system::error_code &error)
+store_errc failureAfterSending(const boost::system::error_code &error)
 {
     const bool timedOut
         = error == boost::beast::error::timeout || error == boost::asio::error::operation_aborted || error == boost::asio::error::timed_out;
-    return timedOut ? platform_errc::TimedOut : platform_errc::AnswerLost;
+    return timedOut ? store_errc::TimedOut : store_errc::AnswerLost;
 }
 
 } // namespace internal
 
 /** Connections with the private event loop that drives them. */
-class etcd_client::connection
+class store_client::connection
 {
 public:
-    explicit connection(etcd_settings settings)
+    explicit connection(store_settings settings)
         : m_settings{std::move(settings)}
         , m_pool{m_context, internal::answerLimits()}
     { }
 
     store_reply call(const store_request &request)
     {
-        const auto encoded = encodeCall(request);
-        const bool isRead = std::holds_alternative<store_range>(request);
-        const auto deadline = monotonicNow() + m_settings.timeout;
+        const auto encoded = m_settings.protocol.encode(request);
+        const bool isRead = !std::holds_alternative<store_transaction>(request);
+        const auto *watch = std::get_if<store_watch>(&request);
+        const auto deadline = monotonicNow() + m_settings.timeout + (watch != nullptr ? duration{watch->wait} : duration{0});
         store_reply reply;
-        reply.error = platform_errc::Unreachable;
+        reply.error = store_errc::Unreachable;
         const auto count = m_settings.endpoints.size();
         const auto first = m_preferred;
         for (std::size_t attempt{0}; attempt < count; ++attempt) {
@@ -75,7 +77,7 @@
                 continue;
             }
             if (result.progress == exchange_progress::Answered) {
-                reply = decodeAnswer(request, result.response->result_int(), result.response->body());
+                reply = m_settings.protocol.decode(request, result.response->result_int(), result.response->body());
             } else {
                 reply.error = internal::failureAfterSending(result.error);
             }
@@ -94,7 +96,7 @@
         return now + (deadline - now) / static_cast<duration::rep>(attempts);
     }
 
-    exchange_result exchange(const endpoint &server, const etcd_call &call, time_point deadline)
+    exchange_result exchange(const endpoint &server, const store_message &call, time_point deadline)
     {
         exchange_result result;
         const auto run = [&]() -> boost::asio::awaitable<void> {
@@ -112,27 +114,27 @@
         return result;
     }
 
-    etcd_settings m_settings;
+    store_settings m_settings;
     boost::asio::io_context m_context;
     http_client_pool m_pool;
     /** Position of the endpoint to try first: the one that answered last, or the one after a failed one. */
     std::size_t m_preferred{0};
 };
 
-etcd_client::etcd_client(etcd_settings settings)
+store_client::store_client(store_settings settings)
     : m_connection{std::make_unique<connection>(std::move(settings))}
 { }
 
-etcd_client::~etcd_client() = default;
+store_client::~store_client() = default;
 
-store_reply etcd_client::call(const store_request &request)
+store_reply store_client::call(const store_request &request)
 {
     return m_connection->call(request);
 }
 
-store_call makeStoreCall(etcd_settings settings)
+store_call makeStoreCall(store_settings settings)
 {
-    auto client = std::make_shared<etcd_client>(std::move(settings));
+    auto client = std::make_shared<store_client>(std::move(settings));
     return [client](const store_request &request) {
         return client->call(request);
     };
--- a/src/ragwortpin/platform/etcd_client.h
+++ b/src/ragwortpin/store/client.h
@@ -1,9 +1,10 @@
-#ifndef RAGWORTPIN_PLATFORM_ETCD_CLIENT_H
-#define RAGWORTPIN_PLATFORM_ETCD_CLIENT_H
+#ifndef RAGWORTPIN_STORE_CLIENT_H
+#define RAGWORTPIN_STORE_CLIENT_H
 
 #include "ragwortpin/core/time.h"
 #include "ragwortpin/http/message.h"
-#include "ragwortpin/platform/store.h"
+#include "ragwortpin/store/etcd_codec.h"
+#include "ragwortpin/store/store.h"
 
 #include <memory>
 #include <vector>
@@ -11,27 +12,27 @@
 namespace ragwortpin {
 
 /** Where the store is and how long a call may take. */
-struct etcd_settings
+struct store_settings
 {
     /** Tried in turn, beginning with the one that answered last. */
     std::vector<endpoint> endpoints;
-    /** Time for a whole call over all endpoints. */
+    /** Time for a whole call over all endpoints; a watch has its own wait on top. */
     duration timeout{seconds{2}};
-
-    bool operator==(const etcd_settings &) const = default;
+    /** How calls are written; the etcd v3 JSON gateway unless set. */
+    store_protocol protocol{etcdProtocol()};
 };
 
 /**
- * Blocking client of the etcd v3 JSON gateway with kept-alive connections. Reads go to the next endpoint after any failure;
+ * Blocking client of a store with kept-alive connections. Reads go to the next endpoint after any failure;
  * a transaction only if no byte of it was sent, so that it is never done twice. Not thread-safe: each thread has its own.
  */
-class etcd_client
+class store_client
 {
 public:
-    explicit etcd_client(etcd_settings settings);
-    ~etcd_client();
-    etcd_client(const etcd_client &) = delete;
-    etcd_client &operator=(const etcd_client &) = delete;
+    explicit store_client(store_settings settings);
+    ~store_client();
+    store_client(const store_client &) = delete;
+    store_client &operator=(const store_client &) = delete;
 
     /** Performs one call within the timeout. */
     [[nodiscard]] store_reply call(const store_request &request);
@@ -43,7 +44,7 @@
 };
 
 /** Returns a call that owns its client. Copies share the client and belong to one thread. */
-[[nodiscard]] store_call makeStoreCall(etcd_settings settings);
+[[nodiscard]] store_call makeStoreCall(store_settings settings);
 
 } // namespace ragwortpin
 
--- a/src/ragwortpin/platform/error.h
+++ b/src/ragwortpin/store/error.h
@@ -1,12 +1,12 @@
-#ifndef RAGWORTPIN_PLATFORM_ERROR_H
-#define RAGWORTPIN_PLATFORM_ERROR_H
+#ifndef RAGWORTPIN_STORE_ERROR_H
+#define RAGWORTPIN_STORE_ERROR_H
 
 #include <system_error>
 
 namespace ragwortpin {
 
 /** Errors of calls to the platform's store. */
-enum class platform_errc {
+enum class store_errc {
     /** No endpoint took the call: no byte of it was sent. */
     Unreachable = 1,
     /** The call was sent and no answer came in time. */
@@ -19,13 +19,17 @@
     Refused,
     /** The store answered that it cannot serve the call now. */
     Unavailable,
+    /** The changes after the revision of a watch are not kept any more. */
+    HistoryLost,
+    /** The store does not know this kind of call. */
+    NotSupported,
 };
 
-/** Returns the category of platform_errc. */
-[[nodiscard]] const std::error_category &platformCategory() noexcept;
+/** Returns the category of store_errc. */
+[[nodiscard]] const std::error_category &storeCategory() noexcept;
 
-/** Makes an error code of a platform error. */
-[[nodiscard]] std::error_code make_error_code(platform_errc kind) noexcept;
+/** Makes an error code of a store error. */
+[[nodiscard]] std::error_code make_error_code(store_errc kind) noexcept;
 
 /** Whether a call that ended with this error may have changed the store. False only where that is certain. */
 [[nodiscard]] bool mayHaveTakenEffect(const std::error_code &error) noexcept;
@@ -33,7 +37,7 @@
 } // namespace ragwortpin
 
 template<>
-struct std::is_error_code_enum<ragwortpin::platform_errc> : std::true_type
+struct std::is_error_code_enum<ragwortpin::store_errc> : std::true_type
 { };
 
 #endif
--- a/src/ragwortpin/platform/etcd_codec.cpp
+++ b/src/ragwortpin/store/etcd_codec.cpp
@@ -1,7 +1,7 @@
-#include "ragwortpin/platform/etcd_codec.h"
+#include "ragwortpin/store/etcd_codec.h"
 
 #include "ragwortpin/identity/digest.h"
-#include "ragwortpin/platform/error.h"
+#include "ragwortpin/store/error.h"
 
 #include <jsoncpp/json/reader.h>
 #include <jsoncpp/json/value.h>
@@ -10,6 +10,7 @@
 #include <charconv>
 #include <memory>
 #include <stdexcept>
+#include <utility>
 
 namespace ragwortpin {
 
@@ -196,7 +197,7 @@
     return reply;
 }
 
-store_reply failure(platform_errc kind)
+store_reply failure(store_errc kind)
 {
     store_reply reply;
     reply.error = kind;
@@ -213,18 +214,33 @@
     return {"/v3/kv/txn", internal::writeCompact(internal::encodeTransaction(std::get<store_transaction>(request)))};
 }
 
+store_protocol etcdProtocol()
+{
+    const auto encode = [](const store_request &request) -> store_message {
+        if (std::holds_alternative<store_watch>(request)) {
+            return {};
+        }
+        auto call = encodeCall(request);
+        return {http::verb::post, std::move(call.path), std::move(call.body)};
+    };
+    return {encode, decodeAnswer};
+}
+
 store_reply decodeAnswer(const store_request &request, unsigned httpStatus, std::string_view body)
 {
+    if (std::holds_alternative<store_watch>(request)) {
+        return internal::failure(store_errc::NotSupported);
+    }
     if (httpStatus >= internal::HttpServerErrors || httpStatus == internal::HttpTooManyRequests) {
-        return internal::failure(platform_errc::Unavailable);
+        return internal::failure(store_errc::Unavailable);
     }
     if (httpStatus != internal::HttpOk) {
-        return internal::failure(platform_errc::Refused);
+        return internal::failure(store_errc::Refused);
     }
     try {
         return internal::decodeBody(request, body);
     } catch (const std::exception &) {
-        return internal::failure(platform_errc::MalformedAnswer);
+        return internal::failure(store_errc::MalformedAnswer);
     }
 }
 
--- a/src/ragwortpin/platform/etcd_codec.h
+++ b/src/ragwortpin/store/etcd_codec.h
@@ -1,7 +1,7 @@
-#ifndef RAGWORTPIN_PLATFORM_ETCD_CODEC_H
-#define RAGWORTPIN_PLATFORM_ETCD_CODEC_H
+#ifndef RAGWORTPIN_STORE_ETCD_CODEC_H
+#define RAGWORTPIN_STORE_ETCD_CODEC_H
 
-#include "ragwortpin/platform/store.h"
+#include "ragwortpin/store/store.h"
 
 #include <string>
 #include <string_view>
@@ -23,6 +23,9 @@
 /** Decodes the answer to a call; its error is set for statuses other than 200 and for bodies that are not of the protocol. */
 [[nodiscard]] store_reply decodeAnswer(const store_request &request, unsigned httpStatus, std::string_view body);
 
+/** The protocol of the etcd v3 gateway. */
+[[nodiscard]] store_protocol etcdProtocol();
+
 } // namespace ragwortpin
 
 #endif
--- a/src/ragwortpin/platform/fwd.h
+++ b/src/ragwortpin/store/fwd.h
@@ -1,5 +1,5 @@
-#ifndef RAGWORTPIN_PLATFORM_FWD_H
-#define RAGWORTPIN_PLATFORM_FWD_H
+#ifndef RAGWORTPIN_STORE_FWD_H
+#define RAGWORTPIN_STORE_FWD_H
 
 namespace ragwortpin {
 
@@ -8,11 +8,14 @@
 struct store_write;
 struct store_range;
 struct store_transaction;
+struct store_watch;
+struct store_message;
+struct store_protocol;
 struct store_reply;
-enum class platform_errc;
+enum class store_errc;
 struct etcd_call;
-struct etcd_settings;
-class etcd_client;
+struct store_settings;
+class store_client;
 
 } // namespace ragwortpin
 
--- a/src/ragwortpin/platform/store.h
+++ b/src/ragwortpin/store/store.h
@@ -1,12 +1,15 @@
-#ifndef RAGWORTPIN_PLATFORM_STORE_H
-#define RAGWORTPIN_PLATFORM_STORE_H
+#ifndef RAGWORTPIN_STORE_STORE_H
+#define RAGWORTPIN_STORE_STORE_H
 
-#include "ragwortpin/platform/fwd.h"
+#include "ragwortpin/core/time.h"
+#include "ragwortpin/http/message.h"
+#include "ragwortpin/store/fwd.h"
 
 #include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <system_error>
 #include <variant>
 #include <vector>
@@ -65,14 +68,24 @@
     bool operator==(const store_transaction &) const = default;
 };
 
+/** Waits until a key that begins with the prefix changes after a store revision, or until the time is over. */
+struct store_watch
+{
+    std::string prefix;
+    std::int64_t afterRevision{0};
+    milliseconds wait{0};
+
+    bool operator==(const store_watch &) const = default;
+};
+
 /** A call to the store. Each counts as one call against the store's budget. */
-using store_request = std::variant<store_range, store_transaction>;
+using store_request = std::variant<store_range, store_transaction, store_watch>;
 
 /** Result of a call. After an error a transaction may or may not have taken effect. */
 struct store_reply
 {
     std::error_code error;
-    /** Whether a transaction's comparisons held; true for a range. */
+    /** Whether a transaction's comparisons held, or a watch saw a change; true for a range. */
     bool succeeded{false};
     /** Store revision after the call. */
     std::int64_t revision{0};
@@ -82,6 +95,23 @@
     bool operator==(const store_reply &) const = default;
 };
 
+/** A call as an HTTP message of a store's protocol. */
+struct store_message
+{
+    http::verb method{http::verb::post};
+    std::string target;
+    std::string body;
+
+    bool operator==(const store_message &) const = default;
+};
+
+/** Protocol of a store. A watch that it does not have is refused by decode(). */
+struct store_protocol
+{
+    std::function<store_message(const store_request &)> encode;
+    std::function<store_reply(const store_request &, unsigned httpStatus, std::string_view body)> decode;
+};
+
 /** Performs one call and blocks until it is answered or its time is up. Daemons pass a network client, tests a fake. */
 using store_call = std::function<store_reply(const store_request &)>;
 
--- a/src/ragwortpin/targets/egress_gateway.cpp
+++ b/src/ragwortpin/targets/egress_gateway.cpp
@@ -13,6 +13,7 @@
 {
     request_context context{parent.context};
     context.route = definition.name;
+    context.service = definition.service;
     context.depth = parent.context.depth + 1;
     context.retryAllowance = grant;
     context.trace = makeChildSpan(parent.context.trace);
@@ -62,7 +63,8 @@
     removeInternalFields(request);
     removeHopByHopFields(request);
     const auto key = extractApiKey(request);
-    const auto match = index ? findRoute(*index, toStd(request.method_string()), toStd(request.target())) : route_match{};
+    const auto host = toStd(request[http::field::host]);
+    const auto match = index ? findRoute(*index, host, toStd(request.method_string()), toStd(request.target())) : route_match{};
     if (!match || key.exposedInTarget) {
         co_return refuseCall(match ? refusal_kind::MalformedRequest : refusal_kind::UnknownRoute, outcome::NotRun, 0);
     }
@@ -78,6 +80,8 @@
                       .definition = definition,
                       .deadline = childDeadline(*parent, definition, now),
                       .control = std::move(control)};
+    call.definition.service = chooseService(m_splits, definition, 0.0);
+    call.context.service = call.definition.service;
     const auto trace = call.context.trace;
     call_answer answer;
     if (definition.once) {
--- a/src/ragwortpin/targets/egress_gateway.h
+++ b/src/ragwortpin/targets/egress_gateway.h
@@ -32,6 +32,7 @@
     caller_services m_services;
     caller_gateway &m_outside;
     const in_flight_table &m_inFlight;
+    split_state m_splits;
     counter &m_calls;
     counter &m_unattributed;
 };
--- a/src/ragwortpin/targets/fwd.h
+++ b/src/ragwortpin/targets/fwd.h
@@ -4,6 +4,10 @@
 namespace ragwortpin {
 
 struct target_announcement;
+struct target_departure;
+struct target_options;
+struct announcement_history;
+enum class announcement_verdict : unsigned char;
 struct in_flight_request;
 class in_flight_table;
 class target_gateway;
--- a/src/ragwortpin/targets/target_gateway.cpp
+++ b/src/ragwortpin/targets/target_gateway.cpp
@@ -21,26 +21,30 @@
     return std::max(1L, static_cast<long>(std::chrono::duration_cast<milliseconds>(span).count()));
 }
 
-http_request toTargetRequest(inbound_call &call, const std::string &token, time_point now)
+/** Whether an answer of the target says that it did not run the request. */
+bool saysNotRun(const http_response &response, const header_names &headers)
 {
-    auto request = std::move(call.request);
-    removeInternalFields(request);
-    removeHopByHopFields(request);
-    request.set(toBeast(field::Request), token);
-    request.set(toBeast(field::Deadline), std::to_string(toWholeMilliseconds(remainingForCallee(call.deadline, now))));
-    request.set("traceparent", formatTraceparent(call.context.trace));
-    request.version(11);
-    request.keep_alive(true);
-    request.prepare_payload();
-    return request;
+    return response.count(toBeast(headers.notRun)) > 0 || response.result() == http::status::misdirected_request;
+}
+
+/** Sets a field that the system vouches for, or removes what was sent under its name. */
+void setOrErase(http_request &request, const std::string &name, const std::string &value)
+{
+    if (value.empty()) {
+        request.erase(name);
+    } else {
+        request.set(name, value);
+    }
 }
 
 } // namespace
 
-target_gateway::target_gateway(boost::asio::io_context &context, http_client_pool &client, metrics_registry &metrics, span_sink spans)
+target_gateway::target_gateway(
+    boost::asio::io_context &context, http_client_pool &client, metrics_registry &metrics, span_sink spans, target_options options)
     : m_context{context}
     , m_client{client}
     , m_spans{std::move(spans)}
+    , m_options{std::move(options)}
     , m_started{metrics.counterFor("ragwortpin_target_requests_total{outcome=\"ran\"}")}
     , m_notRun{metrics.counterFor("ragwortpin_target_requests_total{outcome=\"not_run\"}")}
     , m_unknown{metrics.counterFor("ragwortpin_target_requests_total{outcome=\"unknown\"}")}
@@ -50,12 +54,18 @@
 
 void target_gateway::announce(const target_announcement &announcement, time_point now)
 {
-    const bool restarted = !m_announcement || m_announcement->address != announcement.address;
+    const bool restarted = !m_announcement || m_announcement->address != announcement.address
+        || m_announcement->incarnation != announcement.incarnation;
+    const auto slots = std::max(1U, static_cast<std::uint32_t>(announcement.slots * m_options.usedSlots));
     if (!m_admission) {
-        m_admission = makeAdmission({}, announcement.slots, announcement.connections, true, now);
+        m_admission = makeAdmission(m_options.admission, slots, announcement.connections, m_options.startsCold, now);
     } else if (restarted || m_announcement->slots != announcement.slots || m_announcement->connections != announcement.connections) {
-        apply(setCapacity(*m_admission, announcement.slots, announcement.connections, now));
+        apply(setCapacity(*m_admission, slots, announcement.connections, now));
+    }
+    if (restarted && m_announcement) {
+        m_client.closeIdle(m_announcement->address);
     }
+    m_replaced = m_replaced && !restarted;
     m_announcement = announcement;
 }
 
@@ -64,7 +74,7 @@
     if (m_draining) {
         co_return refuse(refusal_kind::Draining, call);
     }
-    if (!m_admission || m_announcement->service != call.definition.service) {
+    if (!m_admission || m_replaced || m_announcement->service != call.definition.service) {
         co_return refuse(refusal_kind::NotReady, call);
     }
     const auto id = ++m_lastId;
@@ -132,8 +142,13 @@
     request->escrow = makeEscrow(call.context.retryAllowance);
     const auto token = m_inFlight.add(request);
     const auto address = m_announcement->address;
+    auto options = m_options.exchange;
+    options.expectedId = std::string{call.request[m_options.headers.requestId]};
+    if (!call.definition.retryable) {
+        options.longestIdle = m_options.longestIdleOnce;
+    }
     auto message = toTargetRequest(call, token, started);
-    auto result = co_await m_client.exchange(address, std::move(message), call.deadline, call.control);
+    auto result = co_await m_client.exchange(address, std::move(message), call.deadline, call.control, std::move(options));
     m_inFlight.remove(token);
     if (request->activeCalls > 0) {
         request->downstreamTime += monotonicNow() - request->waitingSince;
@@ -156,6 +171,24 @@
     co_return answer;
 }
 
+http_request target_gateway::toTargetRequest(inbound_call &call, const std::string &token, time_point now) const
+{
+    const auto &headers = m_options.headers;
+    auto request = std::move(call.request);
+    removeInternalFields(request);
+    removeHopByHopFields(request);
+    request.set(toBeast(field::Request), token);
+    request.set(headers.deadline, std::to_string(toWholeMilliseconds(remainingForCallee(call.deadline, now))));
+    setOrErase(request, headers.workspace, call.context.workspace);
+    setOrErase(request, headers.callerService, call.context.callerService);
+    setOrErase(request, headers.expectedInstance, m_announcement->incarnation);
+    request.set("traceparent", formatTraceparent(call.context.trace));
+    request.version(11);
+    request.keep_alive(true);
+    request.prepare_payload();
+    return request;
+}
+
 call_answer target_gateway::refuse(refusal_kind kind, const inbound_call &call)
 {
     m_notRun.add();
@@ -168,13 +201,21 @@
 call_answer target_gateway::toAnswer(exchange_result result, const inbound_call &call, const in_flight_request &request)
 {
     call_answer answer;
-    if (result.progress == exchange_progress::Answered) {
+    if (result.progress == exchange_progress::Answered && saysNotRun(*result.response, m_options.headers)) {
+        m_notRun.add();
+        const bool misdirected{result.response->result() == http::status::misdirected_request};
+        m_replaced = m_replaced || misdirected;
+        const auto kind = misdirected ? refusal_kind::NotReady : refusal_kind::Overloaded;
+        answer = refuseCall(kind, outcome::NotRun, unusedAllowance(request.escrow), retryAfter(*m_admission));
+        answer.arrivals = 1;
+    } else if (result.progress == exchange_progress::Answered) {
         m_started.add();
         answer.response = std::move(*result.response);
         removeInternalFields(answer.response);
         removeHopByHopFields(answer.response);
         answer.response.prepare_payload();
         answer.result = outcome::Ran;
+        answer.arrivals = 1;
         answer.unusedAllowance = unusedAllowance(request.escrow);
     } else if (result.progress == exchange_progress::NotSent) {
         const auto kind = call.control->cancelled() ? refusal_kind::Cancelled : refusal_kind::NoInstance;
@@ -185,6 +226,7 @@
         m_unknown.add();
         answer = refuseCall(
             late ? refusal_kind::DeadlineExceeded : refusal_kind::AnswerLost, outcome::Unknown, unusedAllowance(request.escrow));
+        answer.arrivals = 1;
     }
     fillLoad(answer, call.context.workspace, request.level);
     return answer;
--- a/src/ragwortpin/targets/target_gateway.h
+++ b/src/ragwortpin/targets/target_gateway.h
@@ -4,8 +4,10 @@
 #include "ragwortpin/admission/admission.h"
 #include "ragwortpin/dispatch/call.h"
 #include "ragwortpin/http/client_pool.h"
+#include "ragwortpin/http/header_names.h"
 #include "ragwortpin/runtime/async_signal.h"
 #include "ragwortpin/runtime/metrics.h"
+#include "ragwortpin/targets/announcement.h"
 #include "ragwortpin/targets/in_flight.h"
 #include "ragwortpin/telemetry/span.h"
 
@@ -22,17 +24,19 @@
 
 namespace ragwortpin {
 
-/** What a target tells the node beside it. */
-struct target_announcement
+/** Settings of the last hop. */
+struct target_options
 {
-    std::string service;
-    endpoint address;
-    /** Requests that the target works on at once. */
-    std::uint32_t slots{0};
-    /** Connections that the target accepts. */
-    std::uint32_t connections{0};
-
-    bool operator==(const target_announcement &) const = default;
+    admission_options admission;
+    header_names headers;
+    /** Whether a target that announces itself anew starts with few requests at once. */
+    bool startsCold{true};
+    /** Part of the announced slots that is used; targets may slow down when all are taken. */
+    double usedSlots{1.0};
+    /** How answers are told apart and when connections are reused. */
+    exchange_options exchange;
+    /** Idle time from which on a connection is not reused for a request that must not be sent twice. */
+    duration longestIdleOnce{seconds{5}};
 };
 
 /**
@@ -42,7 +46,8 @@
 class target_gateway
 {
 public:
-    target_gateway(boost::asio::io_context &context, http_client_pool &client, metrics_registry &metrics, span_sink spans);
+    target_gateway(
+        boost::asio::io_context &context, http_client_pool &client, metrics_registry &metrics, span_sink spans, target_options options = {});
 
     /** Takes over what the target announced. A first or changed address starts cold. */
     void announce(const target_announcement &announcement, time_point now);
@@ -76,6 +81,18 @@
         return m_announcement;
     }
 
+    /** Admission to the target; nothing before its first announcement. */
+    [[nodiscard]] const std::optional<admission_state> &admission() const noexcept
+    {
+        return m_admission;
+    }
+
+    /** Whether new requests are accepted. */
+    [[nodiscard]] bool takesWork() const noexcept
+    {
+        return m_admission && !m_draining && !m_replaced;
+    }
+
     /** Requests that wait for a slot or hold one. */
     [[nodiscard]] std::size_t requests() const noexcept
     {
@@ -104,6 +121,7 @@
     [[nodiscard]] boost::asio::awaitable<slot_state> waitForSlot(request_id id, std::shared_ptr<call_control> control);
     [[nodiscard]] boost::asio::awaitable<call_answer> exchangeWithTarget(inbound_call &call, request_id id);
     [[nodiscard]] call_answer refuse(refusal_kind kind, const inbound_call &call);
+    [[nodiscard]] http_request toTargetRequest(inbound_call &call, const std::string &token, time_point now) const;
     [[nodiscard]] call_answer toAnswer(exchange_result result, const inbound_call &call, const in_flight_request &request);
     void release(request_id id, const in_flight_request &request, const exchange_result &result, bool cancelled);
     void apply(const admission_changes &changes);
@@ -119,6 +137,8 @@
     in_flight_table m_inFlight;
     request_id m_lastId{0};
     bool m_draining{false};
+    bool m_replaced{false};
+    target_options m_options;
     counter &m_started;
     counter &m_notRun;
     counter &m_unknown;
--- a/tests/config/configuration_test.cpp
+++ b/tests/config/configuration_test.cpp
@@ -121,12 +121,12 @@
     };
     for (const auto &item : cases) {
         CAPTURE(item.method, item.path);
-        const auto match = findRoute(*index, item.method, item.path);
+        const auto match = findRoute(*index, "", item.method, item.path);
         CHECK((match ? match.definition().name : "") == item.route);
     }
-    CHECK(findRoute(*index, "POST", "/packages").rank() == 0);
-    CHECK(findRoute(*index, "GET", "/").rank() == 1);
-    CHECK_FALSE(findRoute(*index, "GET", std::string(100'000, '/')));
+    CHECK(findRoute(*index, "", "POST", "/packages").rank() == 0);
+    CHECK(findRoute(*index, "", "GET", "/").rank() == 1);
+    CHECK_FALSE(findRoute(*index, "", "GET", std::string(100'000, '/')));
 }
 
 TEST_CASE("keys are found by digest until they are withdrawn")
--- a/tests/config/fake_store.h
+++ b/tests/config/fake_store.h
@@ -1,7 +1,7 @@
 #ifndef RAGWORTPIN_TESTS_CONFIG_FAKE_STORE_H
 #define RAGWORTPIN_TESTS_CONFIG_FAKE_STORE_H
 
-#include "ragwortpin/platform/store.h"
+#include "ragwortpin/store/store.h"
 
 #include <cstdint>
 #include <functional>
--- a/tests/config/publication_test.cpp
+++ b/tests/config/publication_test.cpp
@@ -4,7 +4,7 @@
 #include "ragwortpin/config/error.h"
 #include "ragwortpin/config/parse.h"
 #include "ragwortpin/config/publication.h"
-#include "ragwortpin/platform/error.h"
+#include "ragwortpin/store/error.h"
 
 #include <catch2/catch.hpp>
 
@@ -42,7 +42,7 @@
 }
 
 /** Answers the given call from the end of a list of faults; then without fault. */
-store_call withFaults(fake_store &store, std::vector<std::optional<platform_errc>> faults, bool takesEffect)
+store_call withFaults(fake_store &store, std::vector<std::optional<store_errc>> faults, bool takesEffect)
 {
     auto position = std::make_shared<std::size_t>(0);
     return [&store, faults = std::move(faults), takesEffect, position](const store_request &asked) {
@@ -166,11 +166,11 @@
 
 TEST_CASE("a lost answer is settled by the chain or told as unknown")
 {
-    using fault = std::optional<platform_errc>;
+    using fault = std::optional<store_errc>;
     // The calls of a first publication: read the history, then the transaction, then what the settling needs.
     const fault none;
-    const fault lost{platform_errc::AnswerLost};
-    const fault away{platform_errc::Unreachable};
+    const fault lost{store_errc::AnswerLost};
+    const fault away{store_errc::Unreachable};
     fake_store done;
     CHECK(publish(withFaults(done, {none, lost}, true), request("a", 0, example())).status == publication_status::Accepted);
     CHECK(loadHistory(done.call()).history.size() == 1);
--- a/tests/config/racing_operators.h
+++ b/tests/config/racing_operators.h
@@ -3,7 +3,7 @@
 
 #include "config/fake_store.h"
 
-#include "ragwortpin/platform/error.h"
+#include "ragwortpin/store/error.h"
 
 #include <condition_variable>
 #include <cstddef>
@@ -145,20 +145,20 @@
         case call_fault::None:
             return m_store.perform(request);
         case call_fault::Unreachable:
-            reply.error = platform_errc::Unreachable;
+            reply.error = store_errc::Unreachable;
             return reply;
         case call_fault::Dropped:
-            reply.error = platform_errc::TimedOut;
+            reply.error = store_errc::TimedOut;
             return reply;
         case call_fault::AnswerLost:
             static_cast<void>(m_store.perform(request));
-            reply.error = platform_errc::AnswerLost;
+            reply.error = store_errc::AnswerLost;
             return reply;
         case call_fault::Delayed:
             break;
         }
         m_delayed.push_back(request);
-        reply.error = platform_errc::TimedOut;
+        reply.error = store_errc::TimedOut;
         return reply;
     }
 
--- a/tests/operators/commands_test.cpp
+++ b/tests/operators/commands_test.cpp
@@ -1,13 +1,13 @@
 #include "config/examples.h"
 #include "config/fake_store.h"
-#include "platform/scripted_server.h"
+#include "store/scripted_server.h"
 
 #include "ragwortpin/config/lookup.h"
 #include "ragwortpin/config/parse.h"
 #include "ragwortpin/config/publication.h"
 #include "ragwortpin/identity/digest.h"
 #include "ragwortpin/operators/commands.h"
-#include "ragwortpin/platform/error.h"
+#include "ragwortpin/store/error.h"
 
 #include <catch2/catch.hpp>
 
@@ -40,9 +40,9 @@
     std::map<std::string, std::string> files;
     std::vector<node_report> nodes;
     /** Error of transactions; they take no effect then. */
-    std::optional<platform_errc> writeError;
+    std::optional<store_errc> writeError;
     /** Error of reads. */
-    std::optional<platform_errc> readError;
+    std::optional<store_errc> readError;
     int randomCalls{0};
 
     store_reply perform(const store_request &request)
@@ -206,14 +206,14 @@
 TEST_CASE("an outage exits with 3 and a lost answer with 4 and running again is safe")
 {
     auto test = withExample();
-    test.readError = platform_errc::Unreachable;
+    test.readError = store_errc::Unreachable;
     const auto away = test.run(Publish);
     CHECK(away.code == exit_code::StoreUnreachable);
     CHECK(contains(away.errors, "check its addresses"));
     CHECK(test.run({"history", "--store", "127.0.0.1:1"}).code == exit_code::StoreUnreachable);
 
     test.readError.reset();
-    test.writeError = platform_errc::AnswerLost;
+    test.writeError = store_errc::AnswerLost;
     const auto unknown = test.run(Publish);
     CHECK(unknown.code == exit_code::Unknown);
     CHECK(contains(unknown.errors, "run the same command again"));
