--- a/tests/platform/etcd_client_test.cpp
+++ b/tests/store/client_test.cpp
@@ -1,7 +1,7 @@
-#include "platform/scripted_server.h"
+#include "store/scripted_server.h"
 
-#include "ragwortpin/platform/error.h"
-#include "ragwortpin/platform/etcd_client.h"
+#include "ragwortpin/store/error.h"
+#include "ragwortpin/store/client.h"
 
 #include <catch2/catch.hpp>
 
@@ -48,7 +48,7 @@
     std::string name;
     scripted_step step;
     duration timeout;
-    platform_errc error;
+    store_errc error;
     bool mayBeDone;
 };
 
@@ -57,7 +57,7 @@
 TEST_CASE("calls share one connection and return what the store answered")
 {
     const scripted_server server{{{kind::Answer, httpAnswer("200 OK", RangeBody)}, {kind::Answer, httpAnswer("200 OK", TransactionBody)}}};
-    etcd_client client{{{server.address()}, Long}};
+    store_client client{{{server.address()}, Long}};
     const auto read = client.call(readCall());
     CHECK(read == store_reply{{}, true, 5, {{"a", "b", 4}}});
     const auto written = client.call(writeCall());
@@ -68,26 +68,26 @@
 TEST_CASE("a failed transaction is told once and never sent again")
 {
     const std::vector<failing_answer> cases{
-        {"closed without answer", {kind::SendAndClose, ""}, Long, platform_errc::AnswerLost, true},
+        {"closed without answer", {kind::SendAndClose, ""}, Long, store_errc::AnswerLost, true},
         {"closed within the answer",
          {kind::SendAndClose, "HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{"},
          Long,
-         platform_errc::AnswerLost,
+         store_errc::AnswerLost,
          true},
-        {"no length", {kind::SendAndClose, "HTTP/1.1 200 OK\r\n\r\n{}"}, Long, platform_errc::AnswerLost, true},
-        {"not http", {kind::SendAndClose, "SSH-2.0-x\r\n"}, Long, platform_errc::AnswerLost, true},
-        {"silence", {kind::Silence, ""}, Short, platform_errc::TimedOut, true},
-        {"not json", {kind::Answer, httpAnswer("200 OK", "<html>")}, Long, platform_errc::MalformedAnswer, true},
-        {"no header", {kind::Answer, httpAnswer("200 OK", "{}")}, Long, platform_errc::MalformedAnswer, true},
-        {"refused", {kind::Answer, httpAnswer("400 Bad Request", "{}")}, Long, platform_errc::Refused, false},
-        {"busy", {kind::Answer, httpAnswer("429 Too Many Requests", "{}")}, Long, platform_errc::Unavailable, true},
-        {"failing", {kind::Answer, httpAnswer("503 Service Unavailable", "{}")}, Long, platform_errc::Unavailable, true},
+        {"no length", {kind::SendAndClose, "HTTP/1.1 200 OK\r\n\r\n{}"}, Long, store_errc::AnswerLost, true},
+        {"not http", {kind::SendAndClose, "SSH-2.0-x\r\n"}, Long, store_errc::AnswerLost, true},
+        {"silence", {kind::Silence, ""}, Short, store_errc::TimedOut, true},
+        {"not json", {kind::Answer, httpAnswer("200 OK", "<html>")}, Long, store_errc::MalformedAnswer, true},
+        {"no header", {kind::Answer, httpAnswer("200 OK", "{}")}, Long, store_errc::MalformedAnswer, true},
+        {"refused", {kind::Answer, httpAnswer("400 Bad Request", "{}")}, Long, store_errc::Refused, false},
+        {"busy", {kind::Answer, httpAnswer("429 Too Many Requests", "{}")}, Long, store_errc::Unavailable, true},
+        {"failing", {kind::Answer, httpAnswer("503 Service Unavailable", "{}")}, Long, store_errc::Unavailable, true},
     };
     for (const auto &item : cases) {
         CAPTURE(item.name);
         const scripted_server first{{item.step, {kind::Answer, httpAnswer("200 OK", TransactionBody)}}};
         const scripted_server second{{{kind::Answer, httpAnswer("200 OK", TransactionBody)}}};
-        etcd_client client{{{first.address(), second.address()}, item.timeout}};
+        store_client client{{{first.address(), second.address()}, item.timeout}};
         const auto reply = client.call(writeCall());
         CHECK(reply.error == item.error);
         CHECK(mayHaveTakenEffect(reply.error) == item.mayBeDone);
@@ -102,7 +102,7 @@
 {
     const scripted_server silent{{{kind::SendAndClose, ""}}};
     const scripted_server good{{{kind::Answer, httpAnswer("200 OK", RangeBody)}, {kind::Answer, httpAnswer("200 OK", RangeBody)}}};
-    etcd_client client{{{closedAddress(), silent.address(), good.address()}, Long}};
+    store_client client{{{closedAddress(), silent.address(), good.address()}, Long}};
     CHECK_FALSE(client.call(readCall()).error);
     CHECK_FALSE(client.call(readCall()).error);
     CHECK(silent.requests() == 1);
@@ -113,28 +113,28 @@
 {
     const scripted_server silent{{{kind::Silence, ""}}};
     const scripted_server good{{{kind::Answer, httpAnswer("200 OK", RangeBody)}}};
-    etcd_client client{{{silent.address(), good.address()}, seconds{4}}};
+    store_client client{{{silent.address(), good.address()}, seconds{4}}};
     CHECK_FALSE(client.call(readCall()).error);
 }
 
 TEST_CASE("a transaction that no endpoint took has certainly no effect")
 {
     const scripted_server good{{{kind::Answer, httpAnswer("200 OK", TransactionBody)}}};
-    etcd_client client{{{closedAddress(), good.address()}, Long}};
+    store_client client{{{closedAddress(), good.address()}, Long}};
     CHECK(client.call(writeCall()).succeeded);
-    etcd_client alone{{{closedAddress(), {"not an address", 1}}, Long}};
+    store_client alone{{{closedAddress(), {"not an address", 1}}, Long}};
     const auto reply = alone.call(writeCall());
-    CHECK(reply.error == platform_errc::Unreachable);
+    CHECK(reply.error == store_errc::Unreachable);
     CHECK_FALSE(mayHaveTakenEffect(reply.error));
-    etcd_client nowhere{{{}, Long}};
-    CHECK(nowhere.call(readCall()).error == platform_errc::Unreachable);
+    store_client nowhere{{{}, Long}};
+    CHECK(nowhere.call(readCall()).error == store_errc::Unreachable);
 }
 
 TEST_CASE("a late answer is not taken for the answer to the next call")
 {
     const scripted_server server{{{kind::Silence, ""}, {kind::Answer, httpAnswer("200 OK", RangeBody)}}};
-    etcd_client client{{{server.address()}, Short}};
-    CHECK(client.call(writeCall()).error == platform_errc::TimedOut);
-    etcd_client patient{{{server.address()}, Long}};
+    store_client client{{{server.address()}, Short}};
+    CHECK(client.call(writeCall()).error == store_errc::TimedOut);
+    store_client patient{{{server.address()}, Long}};
     CHECK(patient.call(readCall()).entries.size() == 1);
 }
--- a/tests/platform/etcd_codec_test.cpp
+++ b/tests/store/etcd_codec_test.cpp
@@ -1,5 +1,5 @@
-#include "ragwortpin/platform/error.h"
-#include "ragwortpin/platform/etcd_codec.h"
+#include "ragwortpin/store/error.h"
+#include "ragwortpin/store/etcd_codec.h"
 #include "standins/support/store_gateway.h"
 #include "standins/support/store_model.h"
 
@@ -48,7 +48,7 @@
     const auto removed = roundTrip(state, store_transaction{{{"k1", created.revision}}, {{"k1", std::nullopt, 0}}, {}});
     CHECK(removed.succeeded);
     CHECK(roundTrip(state, store_range{"k1", {}, 0}).entries.empty());
-    CHECK(roundTrip(state, store_transaction{{}, {{"", "x", 0}}, {}}).error == platform_errc::Refused);
+    CHECK(roundTrip(state, store_transaction{{}, {{"", "x", 0}}, {}}).error == store_errc::Refused);
 }
 
 TEST_CASE("no mutation of an answer crashes the decoder")
@@ -65,10 +65,10 @@
         }
         const store_request request = (round % 2 == 0) ? store_request{store_range{"a", {}, 0}} : store_request{store_transaction{}};
         const auto reply = decodeAnswer(request, 200, mutated);
-        CHECK((!reply.error || reply.error == platform_errc::MalformedAnswer));
+        CHECK((!reply.error || reply.error == store_errc::MalformedAnswer));
         understood += reply.error ? 0 : 1;
     }
     CHECK(understood > 0);
     CHECK(understood < 5000);
-    CHECK(decodeAnswer(store_range{}, 200, std::string(100'000, '[')).error == platform_errc::MalformedAnswer);
+    CHECK(decodeAnswer(store_range{}, 200, std::string(100'000, '[')).error == store_errc::MalformedAnswer);
 }
