Plan admission at first hops by the learned cost of routes

Targets' calls name no run, but end at the deadline that their run was given; where that tells the run the call is attributed to it, else by the rates learned so far. Digests carry costs and demands, and every first hop works out the same part of each rank that fits. Calls take over the rank of their run where it is known.

--- a/src/ragwortpin/callers/caller_gateway.cpp
+++ b/src/ragwortpin/callers/caller_gateway.cpp
@@ -178,21 +178,34 @@
                       .definition = definition,
                       .deadline = arrived + limit,
                       .control = std::move(control)};
+    call.callerDeadline = arrived + callerWait.value_or(definition.deadline);
     call.definition.service = call.context.service;
     co_return co_await admitAndRun(std::move(call));
 }
 
 boost::asio::awaitable<call_answer> caller_gateway::admitAndRun(inbound_call call)
 {
+    const bool isTargetCall{call.context.depth > 0};
+    if (isTargetCall && m_services.observeTargetCall) {
+        const auto callDeadline = call.callerDeadline;
+        call.context.rank = m_services.observeTargetCall(call.context.route, callDeadline).value_or(call.context.rank);
+    }
     if (!m_services.calls.admitNewCall(call)) {
         co_return refuse(refusal_kind::Overloaded, spreadPause(OverloadPause, drawUnit(m_random)));
     }
-    if (!call.context.workspace.empty()) {
-        const auto token = co_await m_services.takeToken(call.context.workspace, call.control);
+    const auto &workspace = call.context.workspace;
+    if (!workspace.empty()) {
+        const auto token = co_await m_services.takeToken(workspace, call.control);
         if (!token.admitted) {
             co_return refuse(refusal_kind::RateExceeded, token.retryAfter);
         }
     }
+    if (!isTargetCall && m_services.admit && !m_services.admit(call.context.route, call.context.rank)) {
+        if (!workspace.empty()) {
+            m_services.returnToken(workspace);
+        }
+        co_return refuse(refusal_kind::Overloaded, spreadPause(OverloadPause, drawUnit(m_random)));
+    }
     if (call.definition.once) {
         co_return co_await m_services.runOnce(std::move(call));
     }
--- a/src/ragwortpin/callers/caller_gateway.h
+++ b/src/ragwortpin/callers/caller_gateway.h
@@ -66,7 +66,13 @@
     /** Age from which on keys are not accepted any more. */
     duration longestProofAge{duration::max()};
     /** Service of the target beside this node. */
-    std::function<std::string()> ownService;
+    std::function<std::string()> ownService{};
+    /** Decides whether a request from outside may pass, by what the services behind its route can do. */
+    std::function<bool(std::string_view route, unsigned rank)> admit{};
+    /** Gives a token back whose request was refused for another reason. */
+    std::function<void(const std::string &workspace)> returnToken{};
+    /** Told of each call that the target beside this node makes; returns the rank of the run that makes it where that is known. */
+    std::function<std::optional<unsigned>(std::string_view route, time_point deadline)> observeTargetCall{};
 };
 
 /**
--- a/src/ragwortpin/digest/codec.cpp
+++ b/src/ragwortpin/digest/codec.cpp
@@ -4,23 +4,51 @@
 
 #include <msgpack.hpp>
 
+#include <algorithm>
 #include <cmath>
 
 namespace ragwortpin {
 
 namespace {
 
-constexpr std::uint32_t DigestFields{10};
+constexpr std::uint32_t DigestFields{11};
 constexpr std::uint32_t UsageFields{3};
 constexpr std::size_t MostItems{512};
 constexpr std::size_t MostNameBytes{64};
 constexpr std::size_t MostDepth{6};
-/** Demand travels in thousandths of a request a second. */
-constexpr double DemandScale{1000.0};
-constexpr double MostDemand{1e9};
+constexpr std::uint32_t DemandFields{3};
+constexpr std::uint32_t ProfileFields{4};
+constexpr std::uint32_t CallFields{2};
+/** Fractional figures travel in thousandths. */
+constexpr double Scale{1000.0};
+constexpr double MostScaled{1e9};
 
 using packer = msgpack::packer<msgpack::sbuffer>;
 
+std::uint64_t scaled(double value)
+{
+    return static_cast<std::uint64_t>(std::llround(std::clamp(value, 0.0, MostScaled) * Scale));
+}
+
+double readScaled(const msgpack::object &object)
+{
+    return static_cast<double>(object.as<std::uint64_t>()) / Scale;
+}
+
+void packProfile(packer &out, const route_profile &profile)
+{
+    out.pack_array(ProfileFields);
+    out.pack(profile.route);
+    out.pack(scaled(profile.runs));
+    out.pack(scaled(profile.slotTime));
+    out.pack_array(static_cast<std::uint32_t>(profile.calls.size()));
+    for (const auto &item : profile.calls) {
+        out.pack_array(CallFields);
+        out.pack(item.route);
+        out.pack(scaled(item.calls));
+    }
+}
+
 void pack(packer &out, const node_digest &digest)
 {
     out.pack_array(DigestFields);
@@ -32,15 +60,23 @@
     out.pack(digest.limit);
     out.pack(digest.running);
     out.pack(digest.queued);
-    out.pack_array(2);
-    out.pack(digest.finished);
-    out.pack(digest.busyTime.count());
+    out.pack_array(static_cast<std::uint32_t>(digest.profiles.size()));
+    for (const auto &profile : digest.profiles) {
+        packProfile(out, profile);
+    }
+    out.pack_array(static_cast<std::uint32_t>(digest.demands.size()));
+    for (const auto &demand : digest.demands) {
+        out.pack_array(DemandFields);
+        out.pack(demand.route);
+        out.pack(demand.rank);
+        out.pack(scaled(demand.perSecond));
+    }
     out.pack_array(static_cast<std::uint32_t>(digest.usage.usages.size()));
     for (const auto &usage : digest.usage.usages) {
         out.pack_array(UsageFields);
         out.pack(usage.workspace);
         out.pack(usage.admitted);
-        out.pack(static_cast<std::uint64_t>(std::llround(std::min(usage.demand, MostDemand) * DemandScale)));
+        out.pack(scaled(usage.demand));
     }
 }
 
@@ -74,7 +110,33 @@
     const auto &fields = readArray(object, UsageFields);
     return {fields.ptr[0].as<std::uint32_t>(),
             fields.ptr[1].as<std::uint64_t>(),
-            static_cast<double>(fields.ptr[2].as<std::uint64_t>()) / DemandScale};
+            readScaled(fields.ptr[2])};
+}
+
+const msgpack::object_array &readList(const msgpack::object &object)
+{
+    if (object.type != msgpack::type::ARRAY) {
+        throw msgpack::type_error{};
+    }
+    return object.via.array;
+}
+
+route_profile readProfile(const msgpack::object &object)
+{
+    const auto *fields = readArray(object, ProfileFields).ptr;
+    route_profile profile{.route = fields[0].as<std::uint32_t>(), .runs = readScaled(fields[1]), .slotTime = readScaled(fields[2]), .calls = {}};
+    const auto &calls = readList(fields[3]);
+    for (std::uint32_t index{0}; index < calls.size; ++index) {
+        const auto *item = readArray(calls.ptr[index], CallFields).ptr;
+        profile.calls.push_back({item[0].as<std::uint32_t>(), readScaled(item[1])});
+    }
+    return profile;
+}
+
+route_demand readDemand(const msgpack::object &object)
+{
+    const auto *fields = readArray(object, DemandFields).ptr;
+    return {fields[0].as<std::uint32_t>(), fields[1].as<unsigned>(), readScaled(fields[2])};
 }
 
 node_digest readDigest(const msgpack::object &object)
@@ -89,15 +151,17 @@
     digest.limit = fields[5].as<std::uint32_t>();
     digest.running = fields[6].as<std::uint32_t>();
     digest.queued = fields[7].as<std::uint32_t>();
-    const auto &work = readArray(fields[8], 2);
-    digest.finished = work.ptr[0].as<std::uint64_t>();
-    digest.busyTime = duration{work.ptr[1].as<duration::rep>()};
-    const auto &usages = fields[9];
-    if (usages.type != msgpack::type::ARRAY) {
-        throw msgpack::type_error{};
+    const auto &profiles = readList(fields[8]);
+    for (std::uint32_t index{0}; index < profiles.size; ++index) {
+        digest.profiles.push_back(readProfile(profiles.ptr[index]));
+    }
+    const auto &demands = readList(fields[9]);
+    for (std::uint32_t index{0}; index < demands.size; ++index) {
+        digest.demands.push_back(readDemand(demands.ptr[index]));
     }
-    for (std::uint32_t index{0}; index < usages.via.array.size; ++index) {
-        digest.usage.usages.push_back(readUsage(usages.via.array.ptr[index]));
+    const auto &usages = readList(fields[10]);
+    for (std::uint32_t index{0}; index < usages.size; ++index) {
+        digest.usage.usages.push_back(readUsage(usages.ptr[index]));
     }
     return digest;
 }
--- a/src/ragwortpin/digest/digest.h
+++ b/src/ragwortpin/digest/digest.h
@@ -5,6 +5,7 @@
 #include "ragwortpin/core/time.h"
 #include "ragwortpin/digest/fwd.h"
 #include "ragwortpin/membership/message.h"
+#include "ragwortpin/overload/plan.h"
 #include "ragwortpin/rates/shared_rates.h"
 
 #include <cstddef>
@@ -27,9 +28,10 @@
     std::uint32_t limit{0};
     std::uint32_t running{0};
     std::uint32_t queued{0};
-    /** Requests that the target finished since the node started, and their time in the target together. */
-    std::uint64_t finished{0};
-    duration busyTime{0};
+    /** What runs of each route cost at the target, and the calls that they make. */
+    std::vector<route_profile> profiles;
+    /** Requests from outside that arrive at the node. */
+    std::vector<route_demand> demands;
     usage_report usage;
 
     bool operator==(const node_digest &) const = default;
--- a/src/ragwortpin/dispatch/call.h
+++ b/src/ragwortpin/dispatch/call.h
@@ -25,6 +25,8 @@
     route definition;
     time_point deadline;
     std::shared_ptr<call_control> control;
+    /** Instant until which the caller waits, by its own word; the deadline is no later. */
+    time_point callerDeadline{};
 };
 
 /** Answer to a call, with what a node tells the node above it. */
--- a/src/ragwortpin/node/data_plane.cpp
+++ b/src/ragwortpin/node/data_plane.cpp
@@ -134,6 +134,15 @@
                        settings.configuration.longestProofAge,
                        [this] {
                            return ownService();
+                       },
+                       [this](std::string_view route, unsigned rank) {
+                           return !m_settings.overload.plansAdmission || m_fleet.admit(route, rank);
+                       },
+                       [this](const std::string &workspace) {
+                           m_fleet.giveBack(workspace);
+                       },
+                       [this](std::string_view route, time_point deadline) {
+                           return m_target.observeTargetCall(route, deadline);
                        }}
     , m_callers{m_callerServices, metrics, settings.sampleRatio, randomSeed()}
     , m_egress{m_callerServices, m_callers, m_target.inFlight(), metrics}
@@ -210,7 +219,7 @@
     if (const auto *configured = std::get_if<configuration_event>(&event)) {
         m_directory.updateConfiguration(configured->index->value);
         m_rates.updateConfiguration({configured->index, &configured->index->value});
-        m_fleet.updateConfiguration(configured->index->value);
+        m_fleet.updateConfiguration(configured->index);
         updateOwnRecord();
     } else if (const auto *members = std::get_if<membership_event>(&event)) {
         m_directory.updateMembers(*members->view, now);
--- a/src/ragwortpin/node/fleet_driver.cpp
+++ b/src/ragwortpin/node/fleet_driver.cpp
@@ -1,11 +1,24 @@
 #include "ragwortpin/node/fleet_driver.h"
 
+#include "ragwortpin/runtime/logging.h"
+
+#include <algorithm>
+#include <cmath>
 #include <random>
+#include <string>
 
 namespace ragwortpin {
 
 namespace {
 
+/** Time over which arrivals are averaged; a surge shows within some rounds. */
+constexpr milliseconds DemandMemory{800};
+constexpr double NegligibleDemand{0.02};
+
+/** Profiles and demands in one digest, which has to fit a datagram. */
+constexpr std::size_t MostProfiles{12};
+constexpr std::size_t MostDemands{24};
+
 std::uint64_t randomIncarnation()
 {
     std::random_device device;
@@ -25,12 +38,25 @@
     , m_members{std::make_shared<membership_view>()}
     , m_incarnation{randomIncarnation()}
     , m_malformed{metrics.counterFor("ragwortpin_digests_malformed_total")}
+    , m_shed{metrics.counterFor("ragwortpin_shed_by_plan_total")}
     , m_waited{metrics.counterFor("ragwortpin_rate_waits_total")}
 { }
 
-void fleet_driver::updateConfiguration(const configuration &value)
+void fleet_driver::updateConfiguration(std::shared_ptr<const configuration_index> index)
+{
+    applyLimits(m_rates, index->value.workspaces, monotonicNow());
+    m_index = std::move(index);
+}
+
+bool fleet_driver::admit(std::string_view route, unsigned rank)
 {
-    applyLimits(m_rates, value.workspaces, monotonicNow());
+    const auto id = routeId(route);
+    ++m_arrivals[{id, rank}].count;
+    const bool passed{passes(m_plan, id, rank)};
+    if (!passed) {
+        m_shed.add();
+    }
+    return passed;
 }
 
 void fleet_driver::updateMembers(std::shared_ptr<const membership_view> view)
@@ -51,17 +77,93 @@
     }
 }
 
-void fleet_driver::tick(const target_gateway &target)
+void fleet_driver::tick(target_gateway &target)
 {
     const auto now = monotonicNow();
+    const duration elapsed{m_lastTick == time_point{} ? duration::zero() : now - m_lastTick};
+    m_lastTick = now;
     tickRates(m_rates, now);
+    decay(target.callGraph(), elapsed);
+    smoothDemands(toSeconds(elapsed));
     const auto own = ownDigest(target);
     for (auto &output : tickDigests(m_digests, own, *m_members, now)) {
         m_send(output.to, std::move(output.payload));
     }
+    plan(own);
     m_ticked.notifyAll();
 }
 
+void fleet_driver::smoothDemands(double elapsed)
+{
+    if (elapsed <= 0.0) {
+        return;
+    }
+    const double gain{1.0 - std::exp(-elapsed / toSeconds(DemandMemory))};
+    for (auto &[key, arrived] : m_arrivals) {
+        arrived.perSecond += gain * (arrived.count / elapsed - arrived.perSecond);
+        arrived.count = 0;
+    }
+    std::erase_if(m_arrivals, [](const auto &entry) {
+        return entry.second.perSecond < NegligibleDemand;
+    });
+}
+
+void fleet_driver::plan(const node_digest &own)
+{
+    if (!m_index) {
+        return;
+    }
+    load_picture picture;
+    const auto add = [&picture](const node_digest &digest) {
+        if (!digest.service.empty()) {
+            auto &load = picture.services[digest.service];
+            load.limit += digest.limit;
+            load.running += digest.running;
+            load.queued += digest.queued;
+        }
+        for (const auto &profile : digest.profiles) {
+            picture.profiles.push_back({digest.service, profile});
+        }
+        picture.demands.insert(picture.demands.end(), digest.demands.begin(), digest.demands.end());
+    };
+    add(own);
+    for (const auto &[name, entry] : m_digests.entries) {
+        add(entry.digest);
+    }
+    const auto before = m_plan.plan;
+    updatePlan(m_plan, *m_index, picture);
+    logPlan(before, picture);
+}
+
+/** One line when first hops begin or cease to refuse a route, with what decided it. */
+void fleet_driver::logPlan(const admission_plan &before, const load_picture &picture) const
+{
+    for (const auto &item : m_index->routes) {
+        const auto id = routeId(item.definition.name);
+        const auto isShed = [id](const admission_plan &plan) {
+            return std::any_of(plan.parts.begin(), plan.parts.end(), [id](const auto &entry) {
+                return entry.first.route == id;
+            });
+        };
+        if (isShed(before) == isShed(m_plan.plan)) {
+            continue;
+        }
+        std::string costs;
+        for (const auto &[service, cost] : costOf(*m_index, picture, item.definition)) {
+            const auto load = picture.services.find(service);
+            costs += service + ':' + std::to_string(cost) + 's';
+            if (load != picture.services.end()) {
+                costs += '/' + std::to_string(static_cast<int>(load->second.running)) + '+'
+                    + std::to_string(static_cast<int>(load->second.queued)) + " of " + std::to_string(static_cast<int>(load->second.limit));
+            }
+            costs += ' ';
+        }
+        logEvent(log_level::Info,
+                 "plan_changed",
+                 {{"route", item.definition.name}, {"shed", isShed(m_plan.plan) ? "true" : "false"}, {"costs", costs}});
+    }
+}
+
 boost::asio::awaitable<rate_answer> fleet_driver::take(std::string workspace, std::shared_ptr<call_control> control)
 {
     auto decision = takeToken(m_rates, workspace, monotonicNow());
@@ -75,7 +177,7 @@
     co_return rate_answer{decision.admitted, decision.retryAfter};
 }
 
-node_digest fleet_driver::ownDigest(const target_gateway &target)
+node_digest fleet_driver::ownDigest(target_gateway &target)
 {
     node_digest digest;
     digest.availabilityZone = m_digests.availabilityZone;
@@ -84,7 +186,16 @@
         digest.limit = currentLimit(admission->limit);
         digest.running = static_cast<std::uint32_t>(admission->running.size());
         digest.queued = static_cast<std::uint32_t>(admission->queue.size());
-        digest.finished = admission->counters.completed;
+        digest.profiles = profilesOf(target.callGraph());
+        std::sort(digest.profiles.begin(), digest.profiles.end(), [](const route_profile &left, const route_profile &right) {
+            return left.runs > right.runs;
+        });
+        digest.profiles.resize(std::min(digest.profiles.size(), MostProfiles));
+    }
+    for (const auto &[key, arrived] : m_arrivals) {
+        if (digest.demands.size() < MostDemands) {
+            digest.demands.push_back({key.route, key.rank, arrived.perSecond});
+        }
     }
     digest.usage = {.instance = m_digests.instance, .incarnation = m_incarnation, .sequence = ++m_sequence, .usages = ownUsages(m_rates)};
     return digest;
--- a/src/ragwortpin/node/fleet_driver.h
+++ b/src/ragwortpin/node/fleet_driver.h
@@ -15,6 +15,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -34,7 +35,10 @@
     fleet_driver(boost::asio::io_context &context, const node_settings &settings, digest_sender send, metrics_registry &metrics);
 
     /** Puts a configuration in force. */
-    void updateConfiguration(const configuration &value);
+    void updateConfiguration(std::shared_ptr<const configuration_index> index);
+
+    /** Decides at the first hop whether a request may pass, by what the services behind it can do. */
+    [[nodiscard]] bool admit(std::string_view route, unsigned rank);
 
     /** Takes over a membership snapshot. */
     void updateMembers(std::shared_ptr<const membership_view> view);
@@ -43,27 +47,48 @@
     void receive(std::string_view sender, std::string_view payload);
 
     /** Makes one round; to be called every roundInterval(). */
-    void tick(const target_gateway &target);
+    void tick(target_gateway &target);
 
     /** Takes one token of a workspace; waits for the next round where that may help. */
     [[nodiscard]] boost::asio::awaitable<rate_answer> take(std::string workspace, std::shared_ptr<call_control> control);
 
+    /** Gives the token of a request back that was refused for another reason. */
+    void giveBack(std::string_view workspace)
+    {
+        returnToken(m_rates, workspace);
+    }
+
     [[nodiscard]] duration roundInterval() const noexcept
     {
         return m_digests.options.interval;
     }
 
 private:
-    [[nodiscard]] node_digest ownDigest(const target_gateway &target);
+    /** Requests of one route and rank that arrived at this node. */
+    struct arrivals
+    {
+        std::uint32_t count{0};
+        double perSecond{0.0};
+    };
+
+    [[nodiscard]] node_digest ownDigest(target_gateway &target);
+    void smoothDemands(double elapsed);
+    void plan(const node_digest &own);
+    void logPlan(const admission_plan &before, const load_picture &picture) const;
 
     async_signal m_ticked;
     digest_state m_digests;
     shared_rates m_rates;
+    std::shared_ptr<const configuration_index> m_index;
+    std::map<admission_plan::key, arrivals> m_arrivals;
+    plan_state m_plan;
+    time_point m_lastTick{};
     digest_sender m_send;
     std::shared_ptr<const membership_view> m_members;
     std::uint64_t m_incarnation;
     std::uint64_t m_sequence{0};
     counter &m_malformed;
+    counter &m_shed;
     counter &m_waited;
 };
 
--- a/src/ragwortpin/node/settings.cpp
+++ b/src/ragwortpin/node/settings.cpp
@@ -183,6 +183,7 @@
     overload.longestQueueDelay
         = section->readMilliseconds("longest_queue_delay_ms", {milliseconds{1}, milliseconds{60'000}}, milliseconds{100});
     overload.shedsByLevel = section->readBool("shed_by_level", overload.shedsByLevel);
+    overload.plansAdmission = section->readBool("plan_admission", overload.plansAdmission);
     overload.repeatsArrivals = section->readBool("repeat_arrivals", overload.repeatsArrivals);
     section->finish();
 }
--- a/src/ragwortpin/node/settings.h
+++ b/src/ragwortpin/node/settings.h
@@ -67,6 +67,8 @@
     duration longestQueueDelay{milliseconds{100}};
     /** Whether the first hop refuses by the shed levels that answers carry. */
     bool shedsByLevel{true};
+    /** Whether the first hop refuses what the services behind a route cannot do, as learned from the whole fleet. */
+    bool plansAdmission{false};
     /** Whether a request that may have arrived at a target is ever sent to another one. */
     bool repeatsArrivals{true};
 
--- /dev/null
+++ b/src/ragwortpin/overload/fwd.h
@@ -0,0 +1,16 @@
+#ifndef RAGWORTPIN_OVERLOAD_FWD_H
+#define RAGWORTPIN_OVERLOAD_FWD_H
+
+namespace ragwortpin {
+
+struct call_graph;
+struct route_profile;
+struct route_demand;
+struct service_load;
+struct load_picture;
+struct admission_plan;
+struct plan_state;
+
+} // namespace ragwortpin
+
+#endif
--- a/src/ragwortpin/rates/shared_rates.cpp
+++ b/src/ragwortpin/rates/shared_rates.cpp
@@ -254,6 +254,18 @@
     return usages;
 }
 
+void returnToken(shared_rates &state, std::string_view workspaceName)
+{
+    const auto found = state.buckets.find(workspaceId(workspaceName));
+    if (found == state.buckets.end() || found->second.admitted == 0) {
+        return;
+    }
+    auto &bucket = found->second;
+    --bucket.admitted;
+    bucket.level = std::min(bucket.burst, bucket.level + 1.0);
+    bucket.allowance += 1.0;
+}
+
 rate_decision takeToken(shared_rates &state, std::string_view workspaceName, time_point now)
 {
     const auto found = state.buckets.find(workspaceId(workspaceName));
--- a/src/ragwortpin/rates/shared_rates.h
+++ b/src/ragwortpin/rates/shared_rates.h
@@ -154,6 +154,9 @@
 /** What this node admitted, for its report; workspaces that were not active for some seconds are left out. */
 [[nodiscard]] std::vector<workspace_usage> ownUsages(const shared_rates &state);
 
+/** Gives the token of an admitted request back that was refused for another reason. */
+void returnToken(shared_rates &state, std::string_view workspaceName);
+
 /** Decides on a request of a workspace. One without a limit is always admitted. */
 [[nodiscard]] rate_decision takeToken(shared_rates &state, std::string_view workspaceName, time_point now);
 
--- a/src/ragwortpin/targets/target_gateway.cpp
+++ b/src/ragwortpin/targets/target_gateway.cpp
@@ -2,7 +2,6 @@
 
 #include "ragwortpin/deadlines/deadlines.h"
 #include "ragwortpin/identity/credentials.h"
-#include "ragwortpin/runtime/logging.h"
 
 #include <algorithm>
 
@@ -10,6 +9,10 @@
 
 namespace {
 
+/** How much earlier and later than its run's deadline a call's may seem, by rounding to milliseconds and by the way. */
+constexpr milliseconds CallDeadlineEarly{3};
+constexpr milliseconds CallDeadlineLate{4};
+
 bool isOverloadStatus(unsigned status) noexcept
 {
     constexpr unsigned TooManyRequests{429};
@@ -17,9 +20,9 @@
     return status == TooManyRequests || status == ServiceUnavailable;
 }
 
-long toWholeMilliseconds(duration span) noexcept
+milliseconds toWholeMilliseconds(duration span) noexcept
 {
-    return std::max(1L, static_cast<long>(std::chrono::duration_cast<milliseconds>(span).count()));
+    return std::max(milliseconds{1}, std::chrono::duration_cast<milliseconds>(span));
 }
 
 /** Whether an answer of the target says that it did not run the request. */
@@ -142,17 +145,20 @@
     request->deadline = call.deadline;
     request->escrow = makeEscrow(call.context.retryAllowance);
     const auto token = m_inFlight.add(request);
+    observeStart(m_graph, routeId(call.context.route), started);
+    const auto run = m_runs.emplace(deadlineAfter(toWholeMilliseconds(remainingForCallee(call.deadline, started)), started),
+                                    active_run{routeId(call.context.route), call.context.rank});
     const auto address = m_announcement->address;
     auto options = m_options.exchange;
     options.expectedId = std::string{call.request[m_options.headers.requestId]};
     if (!call.definition.retryable) {
         options.longestIdle = m_options.longestIdleOnce;
     }
-    const auto requestId = options.expectedId;
     auto message = toTargetRequest(call, token, started);
     auto result = co_await m_client.exchange(address, std::move(message), call.deadline, call.control, std::move(options));
     m_inFlight.remove(token);
-    logDecision(log_weight::Ordinary, "target_answer", {{"id", requestId}, {"route", call.context.route}, {"started", std::to_string(started.time_since_epoch().count()/1000)}, {"deadline", std::to_string(call.deadline.time_since_epoch().count()/1000)}});
+    m_runs.erase(run);
+    observeEnd(m_graph, routeId(call.context.route), monotonicNow() - started, monotonicNow());
     if (request->activeCalls > 0) {
         request->downstreamTime += monotonicNow() - request->waitingSince;
     }
@@ -174,6 +180,19 @@
     co_return answer;
 }
 
+std::optional<unsigned> target_gateway::observeTargetCall(std::string_view route, time_point callDeadline)
+{
+    std::vector<std::uint32_t> parents;
+    std::optional<unsigned> rank;
+    const auto end = m_runs.upper_bound(callDeadline + CallDeadlineEarly);
+    for (auto run = m_runs.lower_bound(callDeadline - CallDeadlineLate); run != end; ++run) {
+        parents.push_back(run->second.route);
+        rank = std::min(run->second.rank, rank.value_or(run->second.rank));
+    }
+    observeCall(m_graph, routeId(route), parents, monotonicNow());
+    return rank;
+}
+
 http_request target_gateway::toTargetRequest(inbound_call &call, const std::string &token, time_point now) const
 {
     const auto &headers = m_options.headers;
@@ -181,7 +200,7 @@
     removeInternalFields(request);
     removeHopByHopFields(request);
     request.set(toBeast(field::Request), token);
-    request.set(headers.deadline, std::to_string(toWholeMilliseconds(remainingForCallee(call.deadline, now))));
+    request.set(headers.deadline, std::to_string(toWholeMilliseconds(remainingForCallee(call.deadline, now)).count()));
     setOrErase(request, headers.workspace, call.context.workspace);
     setOrErase(request, headers.callerService, call.context.callerService);
     setOrErase(request, headers.expectedInstance, m_announcement->incarnation);
--- a/src/ragwortpin/targets/target_gateway.h
+++ b/src/ragwortpin/targets/target_gateway.h
@@ -5,6 +5,7 @@
 #include "ragwortpin/dispatch/call.h"
 #include "ragwortpin/http/client_pool.h"
 #include "ragwortpin/http/header_names.h"
+#include "ragwortpin/overload/call_graph.h"
 #include "ragwortpin/runtime/async_signal.h"
 #include "ragwortpin/runtime/metrics.h"
 #include "ragwortpin/targets/announcement.h"
@@ -17,6 +18,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -87,6 +89,18 @@
         return m_admission;
     }
 
+    /**
+     * Notes that the target calls a route, and returns the rank of the run that makes the call; nothing when that cannot be told.
+     * A target's calls end at the deadline that the run was given, which shows the run unless the call has a shorter limit.
+     */
+    std::optional<unsigned> observeTargetCall(std::string_view route, time_point callDeadline);
+
+    /** What was learned of the calls that runs at the target make. */
+    [[nodiscard]] call_graph &callGraph() noexcept
+    {
+        return m_graph;
+    }
+
     /** Whether new requests are accepted. */
     [[nodiscard]] bool takesWork() const noexcept
     {
@@ -108,6 +122,13 @@
         Cancelled,
     };
 
+    /** A run at the target. */
+    struct active_run
+    {
+        std::uint32_t route{0};
+        unsigned rank{0};
+    };
+
     struct slot_waiter
     {
         explicit slot_waiter(boost::asio::io_context &context)
@@ -135,6 +156,9 @@
     std::optional<admission_state> m_admission;
     std::unordered_map<request_id, std::shared_ptr<slot_waiter>> m_waiters;
     in_flight_table m_inFlight;
+    call_graph m_graph;
+    /** Runs at the target by the deadline that they were given. */
+    std::multimap<time_point, active_run> m_runs;
     request_id m_lastId{0};
     bool m_draining{false};
     bool m_replaced{false};
--- a/tests/digest/digest_test.cpp
+++ b/tests/digest/digest_test.cpp
@@ -95,8 +95,8 @@
     digest.limit = 38;
     digest.running = 30;
     digest.queued = 4;
-    digest.finished = 123456;
-    digest.busyTime = seconds{99};
+    digest.profiles = {{.route = 5, .runs = 12.5, .slotTime = 0.25, .calls = {{6, 4.0}, {7, 0.125}}}};
+    digest.demands = {{5, 2, 17.5}};
     digest.usage = {name, 7, 8, {{1, 2, 3.25}, {4, 5, 0.0}}};
     return digest;
 }
--- /dev/null
+++ b/tests/overload/plan_test.cpp
@@ -0,0 +1,163 @@
+#include "ragwortpin/overload/plan.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <algorithm>
+#include <cmath>
+#include <string>
+#include <vector>
+
+using namespace ragwortpin;
+
+namespace {
+
+/** Three kinds of requests, of which two need the deep service, and calls between the services. */
+std::shared_ptr<const configuration_index> sampleIndex()
+{
+    configuration value;
+    value.importances = {{"p0", 0}, {"p1", 1}, {"p2", 2}};
+    value.services = {{"deep"}, {"front"}, {"other"}};
+    value.routes = {{.name = "browse", .path = "/browse", .service = "front", .importance = "p2"},
+                    {.name = "buy", .path = "/buy", .service = "front", .importance = "p0"},
+                    {.name = "look", .path = "/look", .service = "deep", .importance = "p1"},
+                    {.name = "lookup", .path = "/lookup", .service = "deep", .importance = "p2"},
+                    {.name = "rest", .path = "/rest", .service = "other", .importance = "p2"}};
+    return buildIndex(value);
+}
+
+load_picture samplePicture(double queued)
+{
+    load_picture picture;
+    picture.services = {{"deep", {40.0, 40.0, queued}}, {"front", {100.0, 30.0, 0.0}}, {"other", {100.0, 10.0, 0.0}}};
+    picture.profiles = {{"front", {.route = routeId("browse"), .runs = 100.0, .slotTime = 0.4, .calls = {{routeId("lookup"), 4.0}}}},
+                        {"front", {.route = routeId("buy"), .runs = 100.0, .slotTime = 0.5, .calls = {{routeId("lookup"), 8.0}}}},
+                        {"deep", {.route = routeId("look"), .runs = 100.0, .slotTime = 0.06, .calls = {}}},
+                        {"deep", {.route = routeId("lookup"), .runs = 100.0, .slotTime = 0.04, .calls = {}}},
+                        {"other", {.route = routeId("rest"), .runs = 100.0, .slotTime = 0.4, .calls = {}}}};
+    picture.demands = {{routeId("browse"), 2, 200.0}, {routeId("buy"), 0, 30.0}, {routeId("look"), 1, 40.0}, {routeId("rest"), 2, 50.0}};
+    return picture;
+}
+
+double partOf(const plan_state &state, const char *route, unsigned rank)
+{
+    const auto found = state.plan.parts.find({routeId(route), rank});
+    return found == state.plan.parts.end() ? 1.0 : found->second;
+}
+
+} // namespace
+
+TEST_CASE("a request costs what it and the calls behind it take")
+{
+    const auto index = sampleIndex();
+    const auto costs = costOf(*index, samplePicture(0.0), index->value.routes[1]);
+    CHECK(costs.at("front") == Approx(0.5));
+    CHECK(costs.at("deep") == Approx(0.32));
+    CHECK(costs.size() == 2);
+}
+
+TEST_CASE("an overloaded service gets what its slots can do, the most important requests first")
+{
+    const auto index = sampleIndex();
+    plan_state state;
+    updatePlan(state, *index, samplePicture(30.0));
+    CHECK(partOf(state, "buy", 0) == 1.0);
+    CHECK(partOf(state, "look", 1) == 1.0);
+    CHECK(partOf(state, "rest", 2) == 1.0);
+    const double left{40.0 - 30.0 * 0.32 - 40.0 * 0.06};
+    CHECK(partOf(state, "browse", 2) == Approx(left / (200.0 * 0.16)).margin(0.01));
+}
+
+TEST_CASE("a service that keeps up refuses nothing, and one that recovered refuses no more")
+{
+    const auto index = sampleIndex();
+    plan_state state;
+    auto picture = samplePicture(5.0);
+    updatePlan(state, *index, picture);
+    CHECK(state.plan.parts.empty());
+    updatePlan(state, *index, samplePicture(30.0));
+    CHECK_FALSE(state.plan.parts.empty());
+    picture = samplePicture(0.0);
+    picture.demands[0].perSecond = 100.0;
+    updatePlan(state, *index, picture);
+    CHECK(state.plan.parts.empty());
+}
+
+TEST_CASE("what passes is the planned part of every run of requests")
+{
+    rc::prop("to within a request", [] {
+        plan_state state;
+        const double part{*rc::gen::inRange(2, 100) / 100.0};
+        state.plan.parts[{1, 2}] = part;
+        int passed{0};
+        constexpr int Requests{200};
+        for (int request{0}; request < Requests; ++request) {
+            passed += passes(state, 1, 2) ? 1 : 0;
+        }
+        RC_ASSERT(std::abs(passed - part * Requests) <= 1.0);
+        RC_ASSERT(passes(state, 1, 1));
+    });
+}
+
+TEST_CASE("what is planned never exceeds the slots by more than the part that always passes")
+{
+    rc::prop("for any demand", [] {
+        const auto index = sampleIndex();
+        auto picture = samplePicture(30.0);
+        for (auto &demand : picture.demands) {
+            demand.perSecond = *rc::gen::inRange(0, 2000);
+        }
+        plan_state state;
+        updatePlan(state, *index, picture);
+        double planned{0.0};
+        double always{0.0};
+        for (const auto &demand : picture.demands) {
+            for (const auto &item : index->value.routes) {
+                if (routeId(item.name) != demand.route) {
+                    continue;
+                }
+                const auto costs = costOf(*index, picture, item);
+                const auto deep = costs.find("deep");
+                const double cost{deep == costs.end() ? 0.0 : deep->second};
+                planned += demand.perSecond * cost * partOf(state, item.name.c_str(), demand.rank);
+                always += demand.perSecond * cost * 0.02;
+            }
+        }
+        RC_ASSERT(planned <= 40.0 + always + 1e-6);
+    });
+}
+
+/** A day's surge of 1.7 times what the deep service can do, played in steps without a network. */
+TEST_CASE("in a surge purchases are served whole and the deep service stays busy")
+{
+    const auto index = sampleIndex();
+    plan_state state;
+    double queue{0.0};
+    double purchases{0.0};
+    double purchasesPassed{0.0};
+    double work{0.0};
+    constexpr double Round{0.25};
+    constexpr int Rounds{80};
+    for (int round{0}; round < Rounds; ++round) {
+        auto picture = samplePicture(queue);
+        updatePlan(state, *index, picture);
+        double arriving{0.0};
+        for (const auto &demand : picture.demands) {
+            for (int request{0}; request < static_cast<int>(demand.perSecond * Round); ++request) {
+                const bool passed{passes(state, demand.route, demand.rank)};
+                const bool isPurchase{demand.route == routeId("buy")};
+                purchases += isPurchase ? 1.0 : 0.0;
+                purchasesPassed += isPurchase && passed ? 1.0 : 0.0;
+                const bool isBrowse{demand.route == routeId("browse")};
+                const bool isLook{demand.route == routeId("look")};
+                arriving += passed ? (isPurchase ? 0.32 : isBrowse ? 0.16 : isLook ? 0.06 : 0.0) : 0.0;
+            }
+        }
+        const double done{std::min(40.0 * Round, queue * 0.04 + arriving)};
+        queue = std::max(0.0, queue + (arriving - done) / 0.04);
+        work += done;
+    }
+    CHECK(purchasesPassed >= 0.99 * purchases);
+    CHECK(work >= 0.9 * 40.0 * Round * Rounds);
+    CHECK(queue <= 80.0);
+}
