Refuse requests from outside that come too late in a graceful shutdown

The node took new requests until its end.

Requests from outside are refused as draining once the announcement time is over; calls of the target beside the node still run, since its requests in flight need them.

--- a/src/ragwortpin/callers/caller_gateway.cpp
+++ b/src/ragwortpin/callers/caller_gateway.cpp
@@ -186,6 +186,9 @@
 boost::asio::awaitable<call_answer> caller_gateway::admitAndRun(inbound_call call)
 {
     const bool isTargetCall{call.context.depth > 0};
+    if (!isTargetCall && m_services.isEnding && m_services.isEnding()) {
+        co_return refuse(refusal_kind::Draining, NotReadyPause);
+    }
     if (isTargetCall && m_services.observeTargetCall) {
         const auto callDeadline = call.callerDeadline;
         call.context.rank = m_services.observeTargetCall(call.context.route, callDeadline).value_or(call.context.rank);
--- a/src/ragwortpin/callers/caller_gateway.h
+++ b/src/ragwortpin/callers/caller_gateway.h
@@ -71,6 +71,8 @@
     std::function<bool(std::string_view route, unsigned rank)> admit{};
     /** Gives a token back whose request was refused for another reason. */
     std::function<void(const std::string &workspace)> returnToken{};
+    /** Whether requests from outside come too late before the end of the process to be finished. Calls of the target still run. */
+    std::function<bool()> isEnding{};
     /** Told of each call that the target beside this node makes; returns the rank of the run that makes it where that is known. */
     std::function<std::optional<unsigned>(std::string_view route, time_point deadline)> observeTargetCall{};
 };
--- a/src/ragwortpin/config/parse.cpp
+++ b/src/ragwortpin/config/parse.cpp
@@ -91,28 +91,10 @@
 }
 
 /** Fields whose lines are kept for the checks of the whole set. */
-constexpr std::initializer_list<const char *> CheckedFields{"name",
-                                                            "rate",
-                                                            "burst",
-                                                            "weight",
-                                                            "workspace",
-                                                            "sha256",
-                                                            "rank",
-                                                            "retry_ratio",
-                                                            "method",
-                                                            "path",
-                                                            "service",
-                                                            "importance",
-                                                            "open",
-                                                            "once",
-                                                            "deadline_ms",
-                                                            "connections",
-                                                            "host",
-                                                            "split",
-                                                            "attempts",
-                                                            "latency_objective_ms",
-                                                            "region",
-                                                            "share"};
+constexpr std::initializer_list<const char *> CheckedFields{
+    "name",    "rate",       "burst", "weight", "workspace",   "sha256",      "rank", "retry_ratio", "method",   "path",
+    "service", "importance", "open",  "once",   "deadline_ms", "connections", "host", "split",       "attempts", "latency_objective_ms",
+    "region",  "share"};
 
 object_source sourceOf(const yaml_reader &reader, const std::string &file, const std::string &name)
 {
--- a/src/ragwortpin/config/serialise.cpp
+++ b/src/ragwortpin/config/serialise.cpp
@@ -46,19 +46,19 @@
     constexpr std::uint32_t Fields{14};
     output.pack_array(Fields);
     packEach(output,
-               item.name,
-               item.method,
-               item.path,
-               item.service,
-               item.importance,
-               item.open,
-               item.once,
-               item.retryable,
-               static_cast<std::int64_t>(item.deadline.count()),
-               item.host,
-               item.belowOnly,
-               item.attempts,
-               static_cast<std::int64_t>(item.latencyObjective.count()));
+             item.name,
+             item.method,
+             item.path,
+             item.service,
+             item.importance,
+             item.open,
+             item.once,
+             item.retryable,
+             static_cast<std::int64_t>(item.deadline.count()),
+             item.host,
+             item.belowOnly,
+             item.attempts,
+             static_cast<std::int64_t>(item.latencyObjective.count()));
     output.pack_array(static_cast<std::uint32_t>(item.split.size()));
     for (const auto &part : item.split) {
         packObject(output, part);
--- a/src/ragwortpin/digest/codec.cpp
+++ b/src/ragwortpin/digest/codec.cpp
@@ -108,9 +108,7 @@
 workspace_usage readUsage(const msgpack::object &object)
 {
     const auto &fields = readArray(object, UsageFields);
-    return {fields.ptr[0].as<std::uint32_t>(),
-            fields.ptr[1].as<std::uint64_t>(),
-            readScaled(fields.ptr[2])};
+    return {fields.ptr[0].as<std::uint32_t>(), fields.ptr[1].as<std::uint64_t>(), readScaled(fields.ptr[2])};
 }
 
 const msgpack::object_array &readList(const msgpack::object &object)
@@ -124,7 +122,8 @@
 route_profile readProfile(const msgpack::object &object)
 {
     const auto *fields = readArray(object, ProfileFields).ptr;
-    route_profile profile{.route = fields[0].as<std::uint32_t>(), .runs = readScaled(fields[1]), .slotTime = readScaled(fields[2]), .calls = {}};
+    route_profile profile{
+        .route = fields[0].as<std::uint32_t>(), .runs = readScaled(fields[1]), .slotTime = readScaled(fields[2]), .calls = {}};
     const auto &calls = readList(fields[3]);
     for (std::uint32_t index{0}; index < calls.size; ++index) {
         const auto *item = readArray(calls.ptr[index], CallFields).ptr;
--- a/src/ragwortpin/digest/digest.cpp
+++ b/src/ragwortpin/digest/digest.cpp
@@ -73,8 +73,7 @@
 }
 
 /** What a relay sends: its zone to the other zones, everything to its zone. */
-[[nodiscard]] std::vector<digest_output>
-relayRound(digest_state &state, const node_digest &own, const zone_members &zones, time_point now)
+[[nodiscard]] std::vector<digest_output> relayRound(digest_state &state, const node_digest &own, const zone_members &zones, time_point now)
 {
     std::vector<digest_output> outputs;
     auto zoneDigests = freshDigests(state, true);
@@ -135,8 +134,7 @@
     return state;
 }
 
-std::vector<digest_output>
-tickDigests(digest_state &state, const node_digest &own, const membership_view &members, time_point now)
+std::vector<digest_output> tickDigests(digest_state &state, const node_digest &own, const membership_view &members, time_point now)
 {
     std::erase_if(state.entries, [&](const auto &entry) {
         return now - entry.second.heardAt > state.options.lifetime;
@@ -155,8 +153,8 @@
     return outputs;
 }
 
-std::optional<std::vector<node_digest>> receiveDigests(
-    digest_state &state, std::string_view sender, const membership_view &members, std::string_view payload, time_point now)
+std::optional<std::vector<node_digest>>
+receiveDigests(digest_state &state, std::string_view sender, const membership_view &members, std::string_view payload, time_point now)
 {
     auto digests = decodeDigests(payload);
     if (!digests) {
@@ -176,7 +174,8 @@
             continue;
         }
         auto &entry = state.entries[digest.usage.instance];
-        const bool isOld{entry.digest.usage.incarnation == digest.usage.incarnation && digest.usage.sequence <= entry.digest.usage.sequence};
+        const bool isOld{entry.digest.usage.incarnation == digest.usage.incarnation
+                         && digest.usage.sequence <= entry.digest.usage.sequence};
         if (isOld) {
             continue;
         }
--- a/src/ragwortpin/digest/digest.h
+++ b/src/ragwortpin/digest/digest.h
@@ -111,8 +111,8 @@
 tickDigests(digest_state &state, const node_digest &own, const membership_view &members, time_point now);
 
 /** Takes over a datagram; returns the digests in it that are new, or nothing when it is malformed. */
-[[nodiscard]] std::optional<std::vector<node_digest>> receiveDigests(
-    digest_state &state, std::string_view sender, const membership_view &members, std::string_view payload, time_point now);
+[[nodiscard]] std::optional<std::vector<node_digest>>
+receiveDigests(digest_state &state, std::string_view sender, const membership_view &members, std::string_view payload, time_point now);
 
 /** Encodes digests as MessagePack, as many from the given position on as fit a datagram; the position is moved behind them. */
 [[nodiscard]] std::string encodeDigests(const std::vector<const node_digest *> &digests, std::size_t &position);
--- a/src/ragwortpin/http/client_pool.h
+++ b/src/ragwortpin/http/client_pool.h
@@ -68,11 +68,8 @@
      * Sends a request and reads the whole response until the deadline. Cancelling the control closes the connection.
      * A response without a length or chunking, or beyond the body limit, is not whole: Sent with an error.
      */
-    [[nodiscard]] boost::asio::awaitable<exchange_result> exchange(endpoint server,
-                                                                  http_request request,
-                                                                  time_point deadline,
-                                                                  std::shared_ptr<call_control> control,
-                                                                  exchange_options options);
+    [[nodiscard]] boost::asio::awaitable<exchange_result>
+    exchange(endpoint server, http_request request, time_point deadline, std::shared_ptr<call_control> control, exchange_options options);
 
     /** Exchange with the default options. Apart from the other one, since gcc 12 destroys an aggregate that is a default argument twice. */
     [[nodiscard]] boost::asio::awaitable<exchange_result>
--- a/src/ragwortpin/http/server.cpp
+++ b/src/ragwortpin/http/server.cpp
@@ -154,7 +154,7 @@
         while (m_pending.size() >= MostPipelined && m_socket.is_open()) {
             co_await m_changed.wait();
         }
-        co_return item->keepAlive && m_socket.is_open() && !m_closing;
+        co_return item->keepAlive &&m_socket.is_open() && !m_closing;
     }
 
     asio::awaitable<void> readRequest(request_parser &parser, boost::system::error_code &error)
--- a/src/ragwortpin/node/claims_duty.h
+++ b/src/ragwortpin/node/claims_duty.h
@@ -2,9 +2,9 @@
 #define RAGWORTPIN_NODE_CLAIMS_DUTY_H
 
 #include "ragwortpin/claims/claims.h"
-#include "ragwortpin/store/store.h"
 #include "ragwortpin/runtime/mailbox.h"
 #include "ragwortpin/runtime/metrics.h"
+#include "ragwortpin/store/store.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
--- a/src/ragwortpin/node/data_plane.cpp
+++ b/src/ragwortpin/node/data_plane.cpp
@@ -141,6 +141,9 @@
                        [this](const std::string &workspace) {
                            m_fleet.giveBack(workspace);
                        },
+                       [this] {
+                           return isEnding(monotonicNow());
+                       },
                        [this](std::string_view route, time_point deadline) {
                            return m_target.observeTargetCall(route, deadline);
                        }}
@@ -263,11 +266,10 @@
     }
     const bool isNew{!m_target.announced() || m_target.announced()->incarnation != announcement.incarnation};
     if (isNew) {
-        logEvent(log_level::Info,
-                 "target_announced",
-                 {{"incarnation", announcement.incarnation},
-                  {"service", announcement.service},
-                  {"slots", std::to_string(announcement.slots)}});
+        logEvent(
+            log_level::Info,
+            "target_announced",
+            {{"incarnation", announcement.incarnation}, {"service", announcement.service}, {"slots", std::to_string(announcement.slots)}});
     }
     auto usable = announcement;
     usable.connections = usable.connections > 0 ? usable.connections : connectionsOf(usable.service);
@@ -394,6 +396,12 @@
     updateOwnRecord();
 }
 
+/** Callers had the announcement time to go elsewhere; what they send later could not be finished. */
+bool data_plane::isEnding(time_point now) const
+{
+    return m_shutdownStarted && now - *m_shutdownStarted >= m_settings.shutdown.announce;
+}
+
 void data_plane::advanceShutdown(time_point now)
 {
     if (!m_shutdownStarted || m_finished) {
--- a/src/ragwortpin/node/data_plane.h
+++ b/src/ragwortpin/node/data_plane.h
@@ -100,6 +100,7 @@
     void armTimer();
     void updateOwnRecord();
     void startShutdown();
+    [[nodiscard]] bool isEnding(time_point now) const;
     void advanceShutdown(time_point now);
     [[nodiscard]] std::size_t requestsInFlight() const;
     [[nodiscard]] boost::asio::awaitable<call_answer> runLocally(inbound_call call);
--- a/src/ragwortpin/node/events.h
+++ b/src/ragwortpin/node/events.h
@@ -3,8 +3,8 @@
 
 #include "ragwortpin/config/lookup.h"
 #include "ragwortpin/membership/view.h"
-#include "ragwortpin/store/store.h"
 #include "ragwortpin/rights/rights.h"
+#include "ragwortpin/store/store.h"
 #include "ragwortpin/targets/target_gateway.h"
 
 #include <cstdint>
--- a/src/ragwortpin/node/fleet_driver.cpp
+++ b/src/ragwortpin/node/fleet_driver.cpp
@@ -27,10 +27,7 @@
 
 } // namespace
 
-fleet_driver::fleet_driver(boost::asio::io_context &context,
-                           const node_settings &settings,
-                           digest_sender send,
-                           metrics_registry &metrics)
+fleet_driver::fleet_driver(boost::asio::io_context &context, const node_settings &settings, digest_sender send, metrics_registry &metrics)
     : m_ticked{context}
     , m_digests{startDigests({}, settings.instance, settings.availabilityZone)}
     , m_rates{makeSharedRates({}, monotonicNow())}
--- a/src/ragwortpin/node/store_duty.h
+++ b/src/ragwortpin/node/store_duty.h
@@ -3,10 +3,10 @@
 
 #include "ragwortpin/discovery/discovery.h"
 #include "ragwortpin/node/events.h"
-#include "ragwortpin/store/store.h"
 #include "ragwortpin/runtime/mailbox.h"
 #include "ragwortpin/runtime/metrics.h"
 #include "ragwortpin/spread/state.h"
+#include "ragwortpin/store/store.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -56,8 +56,7 @@
 class store_duty
 {
 public:
-    store_duty(
-        store_call call, head_reader reader, store_duty_settings settings, store_duty_outputs outputs, metrics_registry &metrics);
+    store_duty(store_call call, head_reader reader, store_duty_settings settings, store_duty_outputs outputs, metrics_registry &metrics);
     store_duty(const store_duty &) = delete;
     store_duty &operator=(const store_duty &) = delete;
     ~store_duty();
--- a/src/ragwortpin/ragwortpin.h
+++ b/src/ragwortpin/ragwortpin.h
@@ -24,9 +24,6 @@
 #include "ragwortpin/operators/commands.h"
 #include "ragwortpin/peers/control_duty.h"
 #include "ragwortpin/peers/datagram.h"
-#include "ragwortpin/store/error.h"
-#include "ragwortpin/store/client.h"
-#include "ragwortpin/store/store.h"
 #include "ragwortpin/retries/retries.h"
 #include "ragwortpin/rights/rights.h"
 #include "ragwortpin/routing/routing.h"
@@ -35,6 +32,9 @@
 #include "ragwortpin/runtime/metrics.h"
 #include "ragwortpin/runtime/timer_service.h"
 #include "ragwortpin/spread/protocol.h"
+#include "ragwortpin/store/client.h"
+#include "ragwortpin/store/error.h"
+#include "ragwortpin/store/store.h"
 #include "ragwortpin/telemetry/span.h"
 
 #endif
--- a/src/ragwortpin/rights/rights.h
+++ b/src/ragwortpin/rights/rights.h
@@ -4,12 +4,12 @@
 #include "ragwortpin/config/model.h"
 #include "ragwortpin/core/time.h"
 #include "ragwortpin/membership/view.h"
-#include "ragwortpin/store/store.h"
 #include "ragwortpin/rights/bucket.h"
 #include "ragwortpin/rights/fwd.h"
 #include "ragwortpin/rights/messages.h"
 #include "ragwortpin/rights/settings.h"
 #include "ragwortpin/rights/slots.h"
+#include "ragwortpin/store/store.h"
 
 #include <cstdint>
 #include <functional>
--- a/src/ragwortpin/rights/slots.h
+++ b/src/ragwortpin/rights/slots.h
@@ -3,11 +3,11 @@
 
 #include "ragwortpin/config/model.h"
 #include "ragwortpin/core/time.h"
-#include "ragwortpin/store/store.h"
 #include "ragwortpin/rights/apportion.h"
 #include "ragwortpin/rights/errors.h"
 #include "ragwortpin/rights/fwd.h"
 #include "ragwortpin/rights/settings.h"
+#include "ragwortpin/store/store.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/src/ragwortpin/spread/proof.cpp
+++ b/src/ragwortpin/spread/proof.cpp
@@ -27,8 +27,7 @@
 
 } // namespace
 
-std::vector<proof_output>
-tickProof(proof_state &state, time_point now, std::span<const instance_record> peers, std::mt19937_64 &random)
+std::vector<proof_output> tickProof(proof_state &state, time_point now, std::span<const instance_record> peers, std::mt19937_64 &random)
 {
     std::vector<proof_output> messages;
     if (state.options.askAge <= duration::zero() || now < state.nextRound || !isOld(state, now)) {
--- a/src/ragwortpin/targets/target_gateway.cpp
+++ b/src/ragwortpin/targets/target_gateway.cpp
@@ -58,8 +58,8 @@
 
 void target_gateway::announce(const target_announcement &announcement, time_point now)
 {
-    const bool restarted = !m_announcement || m_announcement->address != announcement.address
-        || m_announcement->incarnation != announcement.incarnation;
+    const bool restarted
+        = !m_announcement || m_announcement->address != announcement.address || m_announcement->incarnation != announcement.incarnation;
     const auto slots = std::max(1U, static_cast<std::uint32_t>(announcement.slots * m_options.usedSlots));
     if (!m_admission) {
         m_admission = makeAdmission(m_options.admission, slots, announcement.connections, m_options.startsCold, now);
--- a/src/ragwortpin/targets/target_gateway.h
+++ b/src/ragwortpin/targets/target_gateway.h
@@ -48,8 +48,11 @@
 class target_gateway
 {
 public:
-    target_gateway(
-        boost::asio::io_context &context, http_client_pool &client, metrics_registry &metrics, span_sink spans, target_options options = {});
+    target_gateway(boost::asio::io_context &context,
+                   http_client_pool &client,
+                   metrics_registry &metrics,
+                   span_sink spans,
+                   target_options options = {});
 
     /** Takes over what the target announced. A first or changed address starts cold. */
     void announce(const target_announcement &announcement, time_point now);
--- a/tests/store/client_test.cpp
+++ b/tests/store/client_test.cpp
@@ -1,7 +1,7 @@
 #include "store/scripted_server.h"
 
-#include "ragwortpin/store/error.h"
 #include "ragwortpin/store/client.h"
+#include "ragwortpin/store/error.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/targets/announcement_test.cpp
+++ b/tests/targets/announcement_test.cpp
@@ -11,7 +11,13 @@
 
 target_announcement announced(const std::string &incarnation, std::uint64_t startedAt, std::uint64_t sequence)
 {
-    return {.service = "clips", .address = {"127.0.0.1", 1}, .slots = 1, .connections = 1, .incarnation = incarnation, .startedAt = startedAt, .sequence = sequence};
+    return {.service = "clips",
+            .address = {"127.0.0.1", 1},
+            .slots = 1,
+            .connections = 1,
+            .incarnation = incarnation,
+            .startedAt = startedAt,
+            .sequence = sequence};
 }
 
 } // namespace
