Log each request that the target did not answer well at its last hop

Cause: from the id of a failed request the first hop's line led to an instance, and there was no line there. The last hop now says what it knew: running, queued, limit, draining, incarnation, time at the target, time left. A system test covers the refusal of late requests in a shutdown.

--- a/src/ragwortpin/dispatch/call.h
+++ b/src/ragwortpin/dispatch/call.h
@@ -25,6 +25,8 @@
     route definition;
     time_point deadline;
     std::shared_ptr<call_control> control;
+    /** Id of the caller's attempt, for logs; empty when it sent none. */
+    std::string requestId{};
     /** Instant until which the caller waits, by its own word; the deadline is no later. */
     time_point callerDeadline{};
 };
--- a/src/ragwortpin/targets/target_gateway.cpp
+++ b/src/ragwortpin/targets/target_gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "ragwortpin/deadlines/deadlines.h"
 #include "ragwortpin/identity/credentials.h"
+#include "ragwortpin/runtime/logging.h"
 
 #include <algorithm>
 
@@ -75,6 +76,7 @@
 
 boost::asio::awaitable<call_answer> target_gateway::run(inbound_call call, double weight)
 {
+    call.requestId = std::string{call.request[m_options.headers.requestId]};
     if (m_draining) {
         co_return refuse(refusal_kind::Draining, call);
     }
@@ -150,7 +152,7 @@
                                     active_run{routeId(call.context.route), call.context.rank});
     const auto address = m_announcement->address;
     auto options = m_options.exchange;
-    options.expectedId = std::string{call.request[m_options.headers.requestId]};
+    options.expectedId = call.requestId;
     if (!call.definition.retryable) {
         options.longestIdle = m_options.longestIdleOnce;
     }
@@ -166,6 +168,7 @@
     release(id, *request, result, call.control->cancelled());
     m_targetTime.record(monotonicNow() - started);
     auto answer = toAnswer(std::move(result), call, *request);
+    logOutcome(call, answer, monotonicNow() - started);
     if (call.context.trace.sampled) {
         m_spans(span{.trace = call.context.trace,
                      .parentSpanId = parentSpanId,
@@ -217,9 +220,35 @@
     const auto pause = m_admission ? retryAfter(*m_admission) : duration{seconds{1}};
     auto answer = refuseCall(kind, outcome::NotRun, call.context.retryAllowance, pause);
     fillLoad(answer, call.context.workspace, {});
+    logOutcome(call, answer, duration::zero());
     return answer;
 }
 
+/** One line for each request that the target did not answer well, with what the last hop knew of it. */
+void target_gateway::logOutcome(const inbound_call &call, const call_answer &answer, duration elapsed) const
+{
+    constexpr unsigned FirstServerError{500};
+    const auto status = answer.response.result_int();
+    if (!answer.refusal && status < FirstServerError) {
+        return;
+    }
+    logDecision(log_weight::Important,
+                "last_hop",
+                {{"id", call.requestId},
+                 {"route", call.context.route},
+                 {"rank", std::to_string(call.context.rank)},
+                 {"status", std::to_string(status)},
+                 {"outcome", std::string{toToken(answer.result)}},
+                 {"refusal", answer.refusal ? std::string{describe(*answer.refusal).token} : std::string{}},
+                 {"incarnation", m_announcement ? m_announcement->incarnation : std::string{}},
+                 {"draining", m_draining ? "true" : "false"},
+                 {"running", std::to_string(m_admission ? m_admission->running.size() : 0)},
+                 {"queued", std::to_string(m_admission ? m_admission->queue.size() : 0)},
+                 {"limit", std::to_string(m_admission ? currentLimit(m_admission->limit) : 0)},
+                 {"at_target_ms", std::to_string(std::chrono::duration_cast<milliseconds>(elapsed).count())},
+                 {"left_ms", std::to_string(std::chrono::duration_cast<milliseconds>(call.deadline - monotonicNow()).count())}});
+}
+
 call_answer target_gateway::toAnswer(exchange_result result, const inbound_call &call, const in_flight_request &request)
 {
     call_answer answer;
--- a/src/ragwortpin/targets/target_gateway.h
+++ b/src/ragwortpin/targets/target_gateway.h
@@ -147,6 +147,7 @@
     [[nodiscard]] call_answer refuse(refusal_kind kind, const inbound_call &call);
     [[nodiscard]] http_request toTargetRequest(inbound_call &call, const std::string &token, time_point now) const;
     [[nodiscard]] call_answer toAnswer(exchange_result result, const inbound_call &call, const in_flight_request &request);
+    void logOutcome(const inbound_call &call, const call_answer &answer, duration elapsed) const;
     void release(request_id id, const in_flight_request &request, const exchange_result &result, bool cancelled);
     void apply(const admission_changes &changes);
     void settle(request_id id, slot_state state);
--- a/tests/system/path_test.cpp
+++ b/tests/system/path_test.cpp
@@ -71,6 +71,26 @@
     return headers;
 }
 
+/** Asks for clips on a thread and a connection of its own. */
+std::future<test_answer> askInBackground(const cluster &fleet, std::uint16_t port)
+{
+    return std::async(std::launch::async, [address = fleet.address(), port] {
+        boost::asio::io_context context{1};
+        http_client_pool pool{context, {}};
+        test_answer answer;
+        http_request message{http::verb::get, "/clips", 11};
+        message.set(http::field::host, "a");
+        message.set("X-Api-Key", Key);
+        boost::asio::co_spawn(context,
+                              pool.exchange({address, port}, message, monotonicNow() + seconds{30}, std::make_shared<call_control>()),
+                              [&answer](const std::exception_ptr &, const exchange_result &result) {
+                                  answer.status = result.response ? result.response->result_int() : 0;
+                              });
+        context.run();
+        return answer;
+    });
+}
+
 void startAll(cluster &fleet, const std::string &serviceTime = "5")
 {
     fleet.startStore();
@@ -188,6 +208,26 @@
     }
 }
 
+TEST_CASE("a request that comes late in a graceful shutdown is refused as not run")
+{
+    cluster fleet{"127.0.20.9"};
+    startAll(fleet, "6000");
+    waitUntilServing(fleet, ClipsB, "/clips");
+    auto early = askInBackground(fleet, ClipsB);
+    fleet.eventually("the request is in flight", [&] {
+        return readJson(fleet, ClipsB + TargetOffset, "/standin/stats")["in_flight"].asUInt() > 0;
+    });
+    fleet.signal("node-clips-b", SIGTERM);
+    // Twice the announcement time, and far less than the request in flight takes.
+    std::this_thread::sleep_for(seconds{1});
+    const auto late = fleet.request(http::verb::get, ClipsB, "/clips", withKey());
+    CHECK(late.status == 503);
+    CHECK(late.outcome == "not_run");
+    CHECK(late.refusal == "draining");
+    CHECK(early.get().status == 200);
+    CHECK(fleet.waitForExit("node-clips-b") == 0);
+}
+
 TEST_CASE("a graceful shutdown cuts no request in flight")
 {
     cluster fleet{"127.0.20.3"};
@@ -196,22 +236,7 @@
 
     std::vector<std::future<test_answer>> answers;
     for (int count{0}; count < 6; ++count) {
-        answers.push_back(std::async(std::launch::async, [&fleet] {
-            boost::asio::io_context context{1};
-            http_client_pool pool{context, {}};
-            test_answer answer;
-            http_request message{http::verb::get, "/clips", 11};
-            message.set(http::field::host, "a");
-            message.set("X-Api-Key", Key);
-            boost::asio::co_spawn(
-                context,
-                pool.exchange({fleet.address(), ClipsB}, message, monotonicNow() + seconds{30}, std::make_shared<call_control>()),
-                [&answer](const std::exception_ptr &, const exchange_result &result) {
-                    answer.status = result.response ? result.response->result_int() : 0;
-                });
-            context.run();
-            return answer;
-        }));
+        answers.push_back(askInBackground(fleet, ClipsB));
     }
     fleet.eventually("the requests are in flight", [&] {
         return readJson(fleet, ClipsB + TargetOffset, "/standin/stats")["in_flight"].asUInt() > 0;
