--- a/src/ragwortpin/callers/caller_gateway.cpp
+++ b/src/ragwortpin/callers/caller_gateway.cpp
@@ -120,6 +120,7 @@
                  {"status", std::to_string(status)},
                  {"outcome", std::string{toToken(answer.result)}},
                  {"refusal", answer.refusal ? std::string{describe(*answer.refusal).token} : std::string{}},
+                 {"reason", answer.reason},
                  {"instance", answer.instance},
                  {"arrivals", std::to_string(answer.arrivals)},
                  {"caller_wait_ms", callerWait},
@@ -200,14 +201,18 @@
     if (!workspace.empty()) {
         const auto token = co_await m_services.takeToken(workspace, call.control);
         if (!token.admitted) {
-            co_return refuse(refusal_kind::RateExceeded, token.retryAfter);
+            auto refused = refuse(refusal_kind::RateExceeded, token.retryAfter);
+            refused.reason = token.reason;
+            co_return refused;
         }
     }
     if (!isTargetCall && m_services.admit && !m_services.admit(call.context.route, call.context.rank)) {
         if (!workspace.empty()) {
             m_services.returnToken(workspace);
         }
-        co_return refuse(refusal_kind::Overloaded, spreadPause(OverloadPause, drawUnit(m_random)));
+        auto refused = refuse(refusal_kind::Overloaded, spreadPause(OverloadPause, drawUnit(m_random)));
+        refused.reason = m_services.describePlan(call.context.route, call.context.rank);
+        co_return refused;
     }
     if (call.definition.once) {
         co_return co_await m_services.runOnce(std::move(call));
--- a/src/ragwortpin/callers/caller_gateway.h
+++ b/src/ragwortpin/callers/caller_gateway.h
@@ -45,6 +45,8 @@
 {
     bool admitted{false};
     duration retryAfter{0};
+    /** What decided a refusal, for the log. */
+    std::string reason{};
 };
 /** Takes one token of a workspace; waits for it a short time if needed. */
 using rate_limiter = std::function<boost::asio::awaitable<rate_answer>(std::string workspace, std::shared_ptr<call_control> control)>;
@@ -69,6 +71,8 @@
     std::function<std::string()> ownService{};
     /** Decides whether a request from outside may pass, by what the services behind its route can do. */
     std::function<bool(std::string_view route, unsigned rank)> admit{};
+    /** What decided the last refusal of admit(), for the log. */
+    std::function<std::string(std::string_view route, unsigned rank)> describePlan{};
     /** Gives a token back whose request was refused for another reason. */
     std::function<void(const std::string &workspace)> returnToken{};
     /** Whether requests from outside come too late before the end of the process to be finished. Calls of the target still run. */
--- a/src/ragwortpin/dispatch/call.h
+++ b/src/ragwortpin/dispatch/call.h
@@ -48,6 +48,8 @@
     std::string instance{};
     /** Targets that the request may have arrived at. */
     unsigned arrivals{0};
+    /** What decided a refusal of this node, for its log; empty elsewhere. */
+    std::string reason{};
 };
 
 /** Makes the answer of a refused call. */
--- a/src/ragwortpin/node/data_plane.cpp
+++ b/src/ragwortpin/node/data_plane.cpp
@@ -138,6 +138,9 @@
                        [this](std::string_view route, unsigned rank) {
                            return !m_settings.overload.plansAdmission || m_fleet.admit(route, rank);
                        },
+                       [this](std::string_view route, unsigned rank) {
+                           return m_fleet.describePlan(route, rank);
+                       },
                        [this](const std::string &workspace) {
                            m_fleet.giveBack(workspace);
                        },
--- a/src/ragwortpin/node/fleet_driver.cpp
+++ b/src/ragwortpin/node/fleet_driver.cpp
@@ -171,7 +171,34 @@
             decision = takeToken(m_rates, workspace, monotonicNow());
         }
     }
-    co_return rate_answer{decision.admitted, decision.retryAfter};
+    rate_answer answer{decision.admitted, decision.retryAfter, {}};
+    if (!decision.admitted) {
+        answer.reason = describeRate(workspace);
+    }
+    co_return answer;
+}
+
+std::string fleet_driver::describeRate(std::string_view workspace) const
+{
+    const auto found = m_rates.buckets.find(workspaceId(workspace));
+    if (found == m_rates.buckets.end()) {
+        return {};
+    }
+    const auto &bucket = found->second;
+    return "tokens " + std::to_string(bucket.level) + " of " + std::to_string(bucket.burst) + ", own allowance "
+        + std::to_string(bucket.allowance) + ", rate " + std::to_string(bucket.rate) + "/s, the fleet asks "
+        + std::to_string(bucket.fleetDemand) + "/s, peers heard " + std::to_string(m_rates.peers.size());
+}
+
+std::string fleet_driver::describePlan(std::string_view route, unsigned rank) const
+{
+    const auto planned = m_plan.plan.parts.find({routeId(route), rank});
+    std::string reason{"rank " + std::to_string(rank) + ", part that passes "};
+    reason += planned == m_plan.plan.parts.end() ? "1" : std::to_string(planned->second);
+    for (const auto &[service, correction] : m_plan.corrections) {
+        reason += ", overloaded " + service + " at " + std::to_string(correction) + " of its slots";
+    }
+    return reason;
 }
 
 node_digest fleet_driver::ownDigest(target_gateway &target)
--- a/src/ragwortpin/node/fleet_driver.h
+++ b/src/ragwortpin/node/fleet_driver.h
@@ -52,6 +52,9 @@
     /** Takes one token of a workspace; waits for the next round where that may help. */
     [[nodiscard]] boost::asio::awaitable<rate_answer> take(std::string workspace, std::shared_ptr<call_control> control);
 
+    /** What the plan says of a route and rank, in words for a log line. */
+    [[nodiscard]] std::string describePlan(std::string_view route, unsigned rank) const;
+
     /** Gives the token of a request back that was refused for another reason. */
     void giveBack(std::string_view workspace)
     {
@@ -72,6 +75,7 @@
     };
 
     [[nodiscard]] node_digest ownDigest(target_gateway &target);
+    [[nodiscard]] std::string describeRate(std::string_view workspace) const;
     void smoothDemands(double elapsed);
     void plan(const node_digest &own);
     void logPlan(const admission_plan &before, const load_picture &picture) const;
