Keep workspace rates exact over cuts, starts and surges; lend room between peers

Cause, each traced in the simulation of the fleet with events printed: - A side of a cut that was in debt took nothing off for the other side, which spent its part of the refill: the debt was paid back at twice the pace it should have been.

A node whose part is spent while the fleet has plenty asks a peer of its zone for room (one datagram each way), so that the bound costs hardly any wrongful refusals.

--- a/src/ragwortpin/rights/wire.h
+++ b/src/ragwortpin/core/wire.h
@@ -1,5 +1,5 @@
-#ifndef RAGWORTPIN_RIGHTS_WIRE_H
-#define RAGWORTPIN_RIGHTS_WIRE_H
+#ifndef RAGWORTPIN_CORE_WIRE_H
+#define RAGWORTPIN_CORE_WIRE_H
 
 #include "ragwortpin/core/time.h"
 
--- a/src/ragwortpin/node/data_plane.cpp
+++ b/src/ragwortpin/node/data_plane.cpp
@@ -118,7 +118,7 @@
                    randomSeed(),
                    toDispatchOptions(settings)}
     , m_rates{m_context, toRightsSettings(settings), toRightsIdentity(settings), m_services.rates, metrics}
-    , m_fleet{m_context, settings, m_services.sendDigest, metrics}
+    , m_fleet{m_context, settings, {m_services.sendDigest, m_services.rates.sendMessage}, metrics}
     , m_once{m_context, m_dispatcher, m_services.claims, metrics}
     , m_callerServices{configuration,
                        m_dispatcher,
@@ -232,12 +232,21 @@
         m_rates.updateMembers(members->view);
         m_fleet.updateMembers(members->view);
     } else if (const auto *loan = std::get_if<loan_event>(&event)) {
-        m_rates.receive(loan->sender, loan->payload);
+        receiveLoan(*loan);
     } else if (const auto *digest = std::get_if<digest_event>(&event)) {
         m_fleet.receive(digest->sender, digest->payload);
     }
 }
 
+void data_plane::receiveLoan(const loan_event &loan)
+{
+    if (m_settings.rateMethod == rate_method::Shared) {
+        m_fleet.receiveLoan(loan.sender, loan.payload);
+    } else {
+        m_rates.receive(loan.sender, loan.payload);
+    }
+}
+
 void data_plane::handle(operator_event event)
 {
     if (const auto *announcement = std::get_if<target_announcement>(&event)) {
--- a/src/ragwortpin/node/data_plane.h
+++ b/src/ragwortpin/node/data_plane.h
@@ -34,7 +34,7 @@
     /** Announces the node's own record; false when it has to be tried again. */
     std::function<bool(const instance_record &)> announceSelf;
     rate_driver_outputs rates;
-    digest_sender sendDigest;
+    peer_sender sendDigest;
     claim_sender claims;
     span_sink spans;
     /** Age of the proof that the configuration in force is the newest; nothing where none is asked for. */
@@ -90,6 +90,7 @@
 private:
     void handle(control_event event);
     void handle(operator_event event);
+    void receiveLoan(const loan_event &loan);
     [[nodiscard]] boost::asio::awaitable<rate_answer> takeToken(std::string workspace, std::shared_ptr<call_control> control);
     void handleAnnouncement(const target_announcement &announcement);
     void handleDeparture(const target_departure &departure);
--- a/src/ragwortpin/node/fleet_driver.cpp
+++ b/src/ragwortpin/node/fleet_driver.cpp
@@ -19,6 +19,9 @@
 constexpr std::size_t MostProfiles{12};
 constexpr std::size_t MostDemands{24};
 
+/** Peers that are asked for room for one request before it is refused. */
+constexpr unsigned MostRoomQuestions{3};
+
 std::uint64_t randomIncarnation()
 {
     std::random_device device;
@@ -27,16 +30,22 @@
 
 } // namespace
 
-fleet_driver::fleet_driver(boost::asio::io_context &context, const node_settings &settings, digest_sender send, metrics_registry &metrics)
-    : m_ticked{context}
+fleet_driver::fleet_driver(boost::asio::io_context &context,
+                           const node_settings &settings,
+                           fleet_outputs outputs,
+                           metrics_registry &metrics)
+    : m_changed{context}
     , m_digests{startDigests({}, settings.instance, settings.availabilityZone)}
     , m_rates{makeSharedRates({}, monotonicNow())}
-    , m_send{std::move(send)}
+    , m_outputs{std::move(outputs)}
     , m_members{std::make_shared<membership_view>()}
+    , m_random{std::random_device{}()}
     , m_incarnation{randomIncarnation()}
     , m_malformed{metrics.counterFor("ragwortpin_digests_malformed_total")}
     , m_shed{metrics.counterFor("ragwortpin_shed_by_plan_total")}
     , m_waited{metrics.counterFor("ragwortpin_rate_waits_total")}
+    , m_roomAsked{metrics.counterFor("ragwortpin_rate_room_asked_total")}
+    , m_roomBorrowed{metrics.counterFor("ragwortpin_rate_room_borrowed_total")}
 { }
 
 void fleet_driver::updateConfiguration(std::shared_ptr<const configuration_index> index)
@@ -59,6 +68,13 @@
 void fleet_driver::updateMembers(std::shared_ptr<const membership_view> view)
 {
     m_members = std::move(view);
+    std::vector<std::string> names;
+    for (const auto &record : m_members->instances) {
+        if (record.name != m_digests.instance && record.state != instance_state::Gone) {
+            names.push_back(record.name);
+        }
+    }
+    expectPeers(m_rates, names, monotonicNow());
 }
 
 void fleet_driver::receive(std::string_view sender, std::string_view payload)
@@ -79,15 +95,17 @@
     const auto now = monotonicNow();
     const duration elapsed{m_lastTick == time_point{} ? duration::zero() : now - m_lastTick};
     m_lastTick = now;
+    ++m_rounds;
     tickRates(m_rates, now);
+    expireQuestions(m_questions, now);
     decay(target.callGraph(), elapsed);
     smoothDemands(toSeconds(elapsed));
     const auto own = ownDigest(target);
     for (auto &output : tickDigests(m_digests, own, *m_members, now)) {
-        m_send(output.to, std::move(output.payload));
+        m_outputs.sendDigest(output.to, std::move(output.payload));
     }
     plan(own);
-    m_ticked.notifyAll();
+    m_changed.notifyAll();
 }
 
 void fleet_driver::smoothDemands(double elapsed)
@@ -163,13 +181,23 @@
 
 boost::asio::awaitable<rate_answer> fleet_driver::take(std::string workspace, std::shared_ptr<call_control> control)
 {
+    const auto id = workspaceId(workspace);
+    const auto firstRound = m_rounds;
+    unsigned asked{0};
     auto decision = takeToken(m_rates, workspace, monotonicNow());
-    if (!decision.admitted && decision.mayWait) {
-        m_waited.add();
-        co_await m_ticked.wait();
-        if (!control->cancelled()) {
-            decision = takeToken(m_rates, workspace, monotonicNow());
+    while (!decision.admitted && !control->cancelled()) {
+        if (decision.lacksRoom && asked < MostRoomQuestions && !isAsked(m_questions, id)) {
+            ++asked;
+            askPeerForRoom(id);
         }
+        const bool mayBorrow{decision.lacksRoom && isAsked(m_questions, id)};
+        const bool mayWait{decision.mayWait && m_rounds == firstRound};
+        if (!mayBorrow && !mayWait) {
+            break;
+        }
+        m_waited.add();
+        co_await m_changed.wait();
+        decision = takeToken(m_rates, workspace, monotonicNow());
     }
     rate_answer answer{decision.admitted, decision.retryAfter, {}};
     if (!decision.admitted) {
@@ -178,6 +206,50 @@
     co_return answer;
 }
 
+bool fleet_driver::askPeerForRoom(std::uint32_t workspace)
+{
+    std::vector<const instance_record *> near;
+    std::vector<const instance_record *> all;
+    for (const auto &record : m_members->instances) {
+        if (record.name == m_digests.instance || record.state == instance_state::Gone) {
+            continue;
+        }
+        all.push_back(&record);
+        if (record.availabilityZone == m_digests.availabilityZone) {
+            near.push_back(&record);
+        }
+    }
+    const auto &peers = near.empty() ? all : near;
+    if (peers.empty()) {
+        return false;
+    }
+    m_roomAsked.add();
+    m_outputs.sendLoan(*peers[m_random() % peers.size()], encode(askForRoom(m_questions, workspace, monotonicNow())));
+    return true;
+}
+
+void fleet_driver::receiveLoan(std::string_view sender, std::string_view payload)
+{
+    const auto message = decodeRoomMessage(payload);
+    if (!message) {
+        m_malformed.add();
+        return;
+    }
+    if (message->isAnswer) {
+        if (acceptRoom(m_rates, m_questions, *message)) {
+            m_roomBorrowed.add(message->requests);
+            m_changed.notifyAll();
+        }
+        return;
+    }
+    const auto peer = std::find_if(m_members->instances.begin(), m_members->instances.end(), [sender](const auto &record) {
+        return record.name == sender;
+    });
+    if (peer != m_members->instances.end()) {
+        m_outputs.sendLoan(*peer, encode(answerForRoom(m_rates, *message, monotonicNow())));
+    }
+}
+
 std::string fleet_driver::describeRate(std::string_view workspace) const
 {
     const auto found = m_rates.buckets.find(workspaceId(workspace));
@@ -186,7 +258,8 @@
     }
     const auto &bucket = found->second;
     return "tokens " + std::to_string(bucket.level) + " of " + std::to_string(bucket.burst) + ", own allowance "
-        + std::to_string(bucket.allowance) + ", rate " + std::to_string(bucket.rate) + "/s, the fleet asks "
+        + std::to_string(bucket.allowance) + ", exposed " + std::to_string(bucket.exposedCount) + " of "
+        + std::to_string(bucket.exposedLimit) + ", rate " + std::to_string(bucket.rate) + "/s, the fleet asks "
         + std::to_string(bucket.fleetDemand) + "/s, peers heard " + std::to_string(m_rates.peers.size());
 }
 
--- a/src/ragwortpin/node/fleet_driver.h
+++ b/src/ragwortpin/node/fleet_driver.h
@@ -4,6 +4,7 @@
 #include "ragwortpin/callers/caller_gateway.h"
 #include "ragwortpin/digest/digest.h"
 #include "ragwortpin/node/settings.h"
+#include "ragwortpin/rates/room_loan.h"
 #include "ragwortpin/rates/shared_rates.h"
 #include "ragwortpin/runtime/async_signal.h"
 #include "ragwortpin/runtime/metrics.h"
@@ -17,13 +18,21 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <string_view>
 
 namespace ragwortpin {
 
 /** Sends a datagram to the node of an instance; it may be lost. */
-using digest_sender = std::function<void(const instance_record &to, std::string payload)>;
+using peer_sender = std::function<void(const instance_record &to, std::string payload)>;
+
+/** Ways of a fleet driver to its peers. */
+struct fleet_outputs
+{
+    peer_sender sendDigest;
+    peer_sender sendLoan;
+};
 
 /**
  * What a node tells the fleet and hears from it several times a second, and the workspace rates that follow from it. Data thread
@@ -32,7 +41,7 @@
 class fleet_driver
 {
 public:
-    fleet_driver(boost::asio::io_context &context, const node_settings &settings, digest_sender send, metrics_registry &metrics);
+    fleet_driver(boost::asio::io_context &context, const node_settings &settings, fleet_outputs outputs, metrics_registry &metrics);
 
     /** Puts a configuration in force. */
     void updateConfiguration(std::shared_ptr<const configuration_index> index);
@@ -46,10 +55,13 @@
     /** Handles the payload of a digest datagram whose signature was checked. */
     void receive(std::string_view sender, std::string_view payload);
 
+    /** Handles the payload of a loan datagram whose signature was checked. */
+    void receiveLoan(std::string_view sender, std::string_view payload);
+
     /** Makes one round; to be called every roundInterval(). */
     void tick(target_gateway &target);
 
-    /** Takes one token of a workspace; waits for the next round where that may help. */
+    /** Takes one token of a workspace; asks a peer for room and waits for the next round where that may help. */
     [[nodiscard]] boost::asio::awaitable<rate_answer> take(std::string workspace, std::shared_ptr<call_control> control);
 
     /** What the plan says of a route and rank, in words for a log line. */
@@ -74,26 +86,33 @@
         double perSecond{0.0};
     };
 
+    /** Asks a peer, one of the own availability zone if there is any. Returns whether an answer may come. */
+    bool askPeerForRoom(std::uint32_t workspace);
     [[nodiscard]] node_digest ownDigest(target_gateway &target);
     [[nodiscard]] std::string describeRate(std::string_view workspace) const;
     void smoothDemands(double elapsed);
     void plan(const node_digest &own);
     void logPlan(const admission_plan &before, const load_picture &picture) const;
 
-    async_signal m_ticked;
+    async_signal m_changed;
     digest_state m_digests;
     shared_rates m_rates;
     std::shared_ptr<const configuration_index> m_index;
     std::map<admission_plan::key, arrivals> m_arrivals;
     plan_state m_plan;
     time_point m_lastTick{};
-    digest_sender m_send;
+    fleet_outputs m_outputs;
     std::shared_ptr<const membership_view> m_members;
+    room_questions m_questions;
+    std::minstd_rand m_random;
+    std::uint64_t m_rounds{0};
     std::uint64_t m_incarnation;
     std::uint64_t m_sequence{0};
     counter &m_malformed;
     counter &m_shed;
     counter &m_waited;
+    counter &m_roomAsked;
+    counter &m_roomBorrowed;
 };
 
 } // namespace ragwortpin
--- a/src/ragwortpin/rates/fwd.h
+++ b/src/ragwortpin/rates/fwd.h
@@ -9,6 +9,8 @@
 struct shared_bucket;
 struct shared_rates;
 struct rate_decision;
+struct room_message;
+struct room_questions;
 
 } // namespace ragwortpin
 
--- a/src/ragwortpin/rates/shared_rates.cpp
+++ b/src/ragwortpin/rates/shared_rates.cpp
@@ -30,6 +30,12 @@
     return bucket.rate >= UnlimitedRate;
 }
 
+/** Whether so much more than the rate is asked for that the fleet spends all of it without loans. */
+[[nodiscard]] bool isSurging(const shared_bucket &bucket, const shared_rate_options &options) noexcept
+{
+    return bucket.fleetDemand > options.surge * bucket.rate;
+}
+
 void refill(shared_bucket &bucket, time_point now) noexcept
 {
     const double elapsed{std::max(0.0, toSeconds(now - bucket.updatedAt))};
@@ -83,6 +89,38 @@
     return std::max(demand / std::max(LeastDemand, fleetDemand), 1.0 / nodes);
 }
 
+/** Averages the own part of the demand over the share memory; a bucket that is new starts with an equal part. */
+[[nodiscard]] double smoothedShare(const shared_bucket &bucket, double own, double elapsed, double equal, duration memory) noexcept
+{
+    const double gain{1.0 - std::exp(-elapsed / toSeconds(memory))};
+    const double sample{own / bucket.fleetDemand};
+    const double before{bucket.share > 0.0 ? bucket.share : equal};
+    return before + gain * (sample - before);
+}
+
+/** Drops what every peer has heard of by now and opens the next interval. */
+void closeExposed(shared_bucket &bucket, time_point now, duration exposure)
+{
+    while (!bucket.exposed.empty() && now - bucket.exposed.front().since > exposure) {
+        bucket.exposedCount -= bucket.exposed.front().count;
+        bucket.exposed.pop_front();
+    }
+    bucket.exposed.push_back({now, 0.0, std::max(0.0, bucket.level)});
+}
+
+/**
+ * Most requests that this node may have admitted unknown to others. All nodes' parts add up to what was left when the oldest
+ * interval began, and what was refilled since, also while the nodes cannot hear each other.
+ */
+[[nodiscard]] double exposedLimit(const shared_bucket &bucket, double equal) noexcept
+{
+    const auto &oldest = bucket.exposed.front();
+    const double refilled{bucket.rate * toSeconds(bucket.updatedAt - oldest.since)};
+    const double part{0.5 * (bucket.share + equal)};
+    const double mean{part * (oldest.level + refilled)};
+    return std::max(1.0, mean);
+}
+
 /** What the own node adds to an interval. */
 struct interval
 {
@@ -101,23 +139,42 @@
     bucket.fleetDemand = own + others.live + others.stale;
     refill(bucket, now);
     const double aside{std::max(others.stale / bucket.fleetDemand, static_cast<double>(others.staleNodes) / last.nodes)};
-    const double part{own / (own + others.live) * (1.0 - std::min(1.0, aside)) * std::max(0.0, bucket.level)};
+    const bool calm{bucket.fleetDemand < bucket.rate};
+    const double usable{std::max(0.0, bucket.level)};
+    const double part{own / (own + others.live) * (1.0 - std::min(1.0, aside)) * usable};
     const double carried{bucket.level > 0.0 ? std::min(1.0, bucket.allowance) : 0.0};
     bucket.allowance = part < 1.0 ? std::min(1.0, carried + part) : part;
-    const bool calm{bucket.fleetDemand < bucket.rate};
-    bucket.loan = std::max(1.0, (calm ? options.lendable : options.lendableInSurge) * bucket.level / last.nodes);
+    const double equal{1.0 / last.nodes};
+    bucket.share = smoothedShare(bucket, own, last.elapsed, equal, options.shareMemory);
+    closeExposed(bucket, now, options.exposure);
+    bucket.exposedLimit = exposedLimit(bucket, equal);
+    const double lent{std::max(1.0, (calm ? options.lendable : options.lendableAtLimit) * bucket.level / last.nodes)};
+    bucket.loan = isSurging(bucket, options) ? 0.0 : lent;
 }
 
-/** Takes off what a peer is taken to admit in an interval: what it asks for, and at most its part of what is left. */
+/**
+ * Takes off what a peer is taken to admit in an interval: what it asks for, and at most its part of what is left. One that is cut
+ * off also spends its part of what is refilled while this side is in debt, since it knows nothing of the debt.
+ */
 void assumeSpending(shared_bucket &bucket, peer_usage &usage, const interval &last, double level, bool isStale)
 {
     const double usable{std::max(0.0, level)};
     const double live{std::min(usage.demand / std::max(LeastDemand, bucket.fleetDemand) * usable, usage.demand * last.elapsed)};
-    const double spent{isStale ? stalePart(usage.demand, bucket.fleetDemand, last.nodes) * usable : live};
+    const double refilled{bucket.rate * last.elapsed};
+    const double unseen{stalePart(usage.demand, bucket.fleetDemand, last.nodes) * std::max(usable, refilled)};
+    const double spent{isStale ? unseen : live};
     usage.assumed += spent;
     bucket.level -= spent;
 }
 
+/** A silent peer may begin to spend of workspaces that it did not report so far. */
+void expectUsages(peer_reports &peer, const std::unordered_map<std::uint32_t, shared_bucket> &buckets)
+{
+    for (const auto &[workspace, bucket] : buckets) {
+        peer.usages.try_emplace(workspace);
+    }
+}
+
 void assumePeers(shared_rates &state, const interval &last, time_point now)
 {
     std::unordered_map<std::uint32_t, double> levels;
@@ -126,10 +183,13 @@
     }
     for (auto &[name, peer] : state.peers) {
         const duration silence{now - peer.heardAt};
-        peer.isStale = silence > state.options.stale;
+        peer.isStale = peer.isUnheard || silence > state.options.stale;
         if (silence <= state.options.reported) {
             continue;
         }
+        if (peer.isStale) {
+            expectUsages(peer, state.buckets);
+        }
         for (auto &[workspace, usage] : peer.usages) {
             const auto bucket = state.buckets.find(workspace);
             if (bucket != state.buckets.end()) {
@@ -139,10 +199,26 @@
     }
 }
 
-void admit(shared_bucket &bucket) noexcept
+/** Whether so much is left that it need not be spent by parts. */
+[[nodiscard]] bool hasPlenty(const shared_bucket &bucket, const shared_rate_options &options) noexcept
+{
+    return bucket.level >= std::max(1.0, options.plenty * bucket.burst);
+}
+
+/** Counts requests that peers may not know of yet; less than none for room that a peer lent. */
+void expose(shared_bucket &bucket, double requests)
+{
+    if (!bucket.exposed.empty()) {
+        bucket.exposed.back().count += requests;
+        bucket.exposedCount += requests;
+    }
+}
+
+void admit(shared_bucket &bucket)
 {
     ++bucket.admitted;
     bucket.level -= 1.0;
+    expose(bucket, 1.0);
     bucket.allowance = std::max(0.0, bucket.allowance - 1.0);
 }
 
@@ -172,6 +248,7 @@
 {
     shared_rates state;
     state.options = options;
+    state.startedAt = now;
     state.lastTick = now;
     return state;
 }
@@ -197,10 +274,21 @@
     });
 }
 
+void expectPeers(shared_rates &state, const std::vector<std::string> &names, time_point now)
+{
+    if (now - state.startedAt > state.options.forget) {
+        return;
+    }
+    for (const auto &name : names) {
+        state.peers.try_emplace(name, peer_reports{.heardAt = now, .isUnheard = true, .isStale = true, .usages = {}});
+    }
+}
+
 void noteReport(shared_rates &state, const usage_report &report, time_point now)
 {
-    auto [entry, added] = state.peers.try_emplace(report.instance);
+    const auto [entry, inserted] = state.peers.try_emplace(report.instance);
     auto &peer = entry->second;
+    const bool added{inserted || peer.isUnheard};
     const bool restarted{!added && peer.incarnation != report.incarnation};
     if (!added && !restarted && report.sequence <= peer.sequence) {
         return;
@@ -209,8 +297,8 @@
     for (const auto &usage : report.usages) {
         auto before = peer_usage{.admitted = added ? usage.admitted : 0};
         if (const auto known = peer.usages.find(usage.workspace); known != peer.usages.end()) {
-            before = known->second;
-            before.admitted = restarted ? 0 : before.admitted;
+            before.assumed = known->second.assumed;
+            before.admitted = added ? usage.admitted : (restarted ? 0 : known->second.admitted);
         }
         usages.emplace(usage.workspace, internal::settle(state, usage, before));
     }
@@ -221,7 +309,7 @@
             usages.emplace(workspace, settled);
         }
     }
-    peer = {report.incarnation, report.sequence, now, false, std::move(usages)};
+    peer = {report.incarnation, report.sequence, now, false, false, std::move(usages)};
 }
 
 void tickRates(shared_rates &state, time_point now)
@@ -266,6 +354,31 @@
     bucket.allowance += 1.0;
 }
 
+std::uint32_t lendRoom(shared_rates &state, std::uint32_t workspace, std::uint32_t wanted, time_point now)
+{
+    const auto found = state.buckets.find(workspace);
+    if (found == state.buckets.end()) {
+        return 0;
+    }
+    auto &bucket = found->second;
+    internal::refill(bucket, now);
+    const double spare{bucket.exposedLimit - bucket.exposedCount};
+    const double lendable{std::min({static_cast<double>(wanted), std::max(1.0, spare / 2.0), spare})};
+    const auto lent = internal::hasPlenty(bucket, state.options) ? static_cast<std::uint32_t>(std::max(0.0, lendable)) : 0;
+    internal::expose(bucket, lent);
+    bucket.allowance = std::max(0.0, bucket.allowance - lent);
+    return lent;
+}
+
+void addRoom(shared_rates &state, std::uint32_t workspace, std::uint32_t requests)
+{
+    const auto found = state.buckets.find(workspace);
+    if (found != state.buckets.end()) {
+        internal::expose(found->second, -static_cast<double>(requests));
+        found->second.allowance += requests;
+    }
+}
+
 rate_decision takeToken(shared_rates &state, std::string_view workspaceName, time_point now)
 {
     const auto found = state.buckets.find(workspaceId(workspaceName));
@@ -277,13 +390,17 @@
     internal::refill(bucket, now);
     const bool allowed{bucket.allowance >= 1.0 && bucket.level > 0.0};
     const bool calm{bucket.fleetDemand < bucket.rate};
-    const bool plenty{bucket.loan >= 1.0 && bucket.level >= std::max(1.0, state.options.plenty * bucket.burst)};
-    if (allowed || plenty) {
+    const bool plenty{internal::hasPlenty(bucket, state.options)};
+    const bool isBounded{bucket.exposedCount + 1.0 <= bucket.exposedLimit};
+    if (isBounded && (allowed || (plenty && bucket.loan >= 1.0))) {
         bucket.loan -= allowed ? 0.0 : 1.0;
         internal::admit(bucket);
         return {.admitted = true};
     }
-    return {.admitted = false, .mayWait = calm, .retryAfter = internal::untilRefilled(bucket)};
+    return {.admitted = false,
+            .mayWait = calm,
+            .lacksRoom = plenty && !internal::isSurging(bucket, state.options),
+            .retryAfter = internal::untilRefilled(bucket)};
 }
 
 } // namespace ragwortpin
--- a/src/ragwortpin/rates/shared_rates.h
+++ b/src/ragwortpin/rates/shared_rates.h
@@ -7,6 +7,7 @@
 #include "ragwortpin/rates/fwd.h"
 
 #include <cstdint>
+#include <deque>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -31,7 +32,16 @@
     double plenty{0.25};
     /** Such requests of all nodes together between two ticks, as a multiple of what is left; less while more than the rate is asked for. */
     double lendable{2.0};
-    double lendableInSurge{0.5};
+    double lendableAtLimit{0.5};
+    /** Multiple of the rate from which on nothing is lent, since every node finds requests for its own part. */
+    double surge{2.5};
+    /**
+     * Time within which every peer either hears what this node admitted or counts it as stale: the longest way of a report, `stale`
+     * and two intervals between ticks, and as much again while the copies of the bucket settle.
+     */
+    duration exposure{milliseconds{2200}};
+    /** Time over which demand is averaged to part the requests that peers may not know of yet; a surge must not shift the parts at once. */
+    duration shareMemory{seconds{8}};
 
     bool operator==(const shared_rate_options &) const = default;
 };
@@ -62,6 +72,17 @@
     bool operator==(const usage_report &) const = default;
 };
 
+/** Requests that a node admitted in one interval between ticks. */
+struct exposed_requests
+{
+    time_point since{};
+    double count{0.0};
+    /** Tokens left when the interval began. */
+    double level{0.0};
+
+    bool operator==(const exposed_requests &) const = default;
+};
+
 /** The copy that one node keeps of a workspace's bucket. */
 struct shared_bucket
 {
@@ -81,6 +102,13 @@
     double demand{0.0};
     /** Smoothed demand of all nodes together, as of the last tick. */
     double fleetDemand{0.0};
+    /** Slowly averaged part of this node in the fleet's demand. */
+    double share{0.0};
+    /** Own requests admitted within the exposure time, by tick, the running interval last. */
+    std::deque<exposed_requests> exposed;
+    /** Sum of these, and the most they may come to. */
+    double exposedCount{0.0};
+    double exposedLimit{0.0};
 
     bool operator==(const shared_bucket &) const = default;
 };
@@ -102,6 +130,8 @@
     std::uint64_t incarnation{0};
     std::uint64_t sequence{0};
     time_point heardAt{};
+    /** Whether it is known by name only, from the list of members. */
+    bool isUnheard{false};
     /** Whether it was silent for so long that its part is set aside. */
     bool isStale{false};
     std::unordered_map<std::uint32_t, peer_usage> usages;
@@ -121,6 +151,7 @@
     shared_rate_options options;
     std::unordered_map<std::uint32_t, shared_bucket> buckets;
     string_table<peer_reports> peers;
+    time_point startedAt{};
     time_point lastTick{};
 };
 
@@ -130,6 +161,8 @@
     bool admitted{false};
     /** Whether the next tick may admit it, because the fleet as a whole asks for less than the rate. */
     bool mayWait{false};
+    /** Whether tokens are left and only this node's part of them is spent, so that peers may have room. */
+    bool lacksRoom{false};
     /** When a token is likely; meaningful when not admitted. */
     duration retryAfter{0};
 
@@ -145,6 +178,12 @@
 /** Takes over the rates of a configuration. Buckets of workspaces that stay keep their level. */
 void applyLimits(shared_rates &state, const std::vector<workspace> &workspaces, time_point now);
 
+/**
+ * Sets a part aside for peers that are listed as members and were not heard from yet. Only a node that just started has such
+ * peers: it would otherwise take the whole rate for itself until the first reports arrive.
+ */
+void expectPeers(shared_rates &state, const std::vector<std::string> &names, time_point now);
+
 /** Takes over a report of a peer; one that was overtaken is ignored. */
 void noteReport(shared_rates &state, const usage_report &report, time_point now);
 
@@ -157,6 +196,15 @@
 /** Gives the token of an admitted request back that was refused for another reason. */
 void returnToken(shared_rates &state, std::string_view workspaceName);
 
+/**
+ * Lends a peer room for requests that it admits unknown to others; this node may admit so many less meanwhile. Returns how many, at
+ * most what was wanted and half of what this node has to spare.
+ */
+[[nodiscard]] std::uint32_t lendRoom(shared_rates &state, std::uint32_t workspace, std::uint32_t wanted, time_point now);
+
+/** Adds room that a peer lent. */
+void addRoom(shared_rates &state, std::uint32_t workspace, std::uint32_t requests);
+
 /** Decides on a request of a workspace. One without a limit is always admitted. */
 [[nodiscard]] rate_decision takeToken(shared_rates &state, std::string_view workspaceName, time_point now);
 
--- a/src/ragwortpin/rights/messages.cpp
+++ b/src/ragwortpin/rights/messages.cpp
@@ -1,6 +1,6 @@
 #include "ragwortpin/rights/messages.h"
 
-#include "ragwortpin/rights/wire.h"
+#include "ragwortpin/core/wire.h"
 #include "ragwortpin/rights/wire_fields.h"
 
 #include <utility>
--- a/src/ragwortpin/rights/slot_record.cpp
+++ b/src/ragwortpin/rights/slot_record.cpp
@@ -1,5 +1,5 @@
+#include "ragwortpin/core/wire.h"
 #include "ragwortpin/rights/slots.h"
-#include "ragwortpin/rights/wire.h"
 
 #include <charconv>
 #include <tuple>
--- a/tests/rates/shared_rates_test.cpp
+++ b/tests/rates/shared_rates_test.cpp
@@ -1,3 +1,4 @@
+#include "ragwortpin/rates/room_loan.h"
 #include "ragwortpin/rates/shared_rates.h"
 
 #include <catch2/catch.hpp>
@@ -37,7 +38,10 @@
     shared_rates rates;
     std::uint64_t incarnation{1};
     std::uint64_t sequence{0};
-    /** Side of the cut that the node is on; only nodes of one side hear each other. Side 0 reaches the store. */
+    /**
+     * Side of the cut that the node is on; only nodes of one side hear each other. Side 0 reaches the store, which lists all nodes;
+     * a node that starts elsewhere has no configuration and accepts nothing.
+     */
     int side{0};
     time_point provenAt{};
     time_point downUntil{};
@@ -64,7 +68,14 @@
         applyLimits(node.rates, m_limits, m_now);
         ++node.incarnation;
         node.sequence = 0;
-        node.provenAt = m_now;
+        node.provenAt = node.side == 0 ? m_now : time_point{};
+        std::vector<std::string> others;
+        for (std::size_t other{0}; other < m_nodes.size(); ++other) {
+            if (other != index) {
+                others.push_back(nameOf(other));
+            }
+        }
+        expectPeers(node.rates, others, m_now);
     }
 
     void kill(std::size_t index, duration downTime)
@@ -133,6 +144,11 @@
         }
     }
 
+    [[nodiscard]] static std::string nameOf(std::size_t index)
+    {
+        return "n" + std::to_string(index);
+    }
+
     [[nodiscard]] bool isUp(std::size_t index) const
     {
         return m_now >= m_nodes[index].downUntil;
@@ -158,7 +174,7 @@
             }
             auto &node = m_nodes[index];
             tickRates(node.rates, m_now);
-            const usage_report report{"n" + std::to_string(index), node.incarnation, ++node.sequence, ownUsages(node.rates)};
+            const usage_report report{nameOf(index), node.incarnation, ++node.sequence, ownUsages(node.rates)};
             for (std::size_t other{0}; other < m_nodes.size(); ++other) {
                 if (other != index && m_nodes[other].side == node.side) {
                     std::uniform_int_distribution<int> delay{2, 600};
@@ -181,13 +197,32 @@
         m_travelling = std::move(later);
     }
 
+    /** Asks up to three peers of the same side for room, as a node does; answers take no time here. */
+    [[nodiscard]] rate_decision takeOrBorrow(std::size_t index)
+    {
+        constexpr unsigned MostQuestions{3};
+        auto &own = m_nodes[index].rates;
+        auto decision = takeToken(own, "w", m_now);
+        room_questions questions;
+        for (unsigned asked{0}; asked < MostQuestions && decision.lacksRoom; ++asked) {
+            const auto peer = m_random() % m_nodes.size();
+            if (peer == index || !isUp(peer) || m_nodes[peer].side != m_nodes[index].side) {
+                continue;
+            }
+            const auto question = askForRoom(questions, workspaceId("w"), m_now);
+            acceptRoom(own, questions, answerForRoom(m_nodes[peer].rates, question, m_now));
+            decision = takeToken(own, "w", m_now);
+        }
+        return decision;
+    }
+
     /** A request that may wait for the next round does so once, as it does at a node. */
     void ask(std::size_t index, bool waits)
     {
         if (!isUp(index) || m_now - m_nodes[index].provenAt > duration{ProofLifetime}) {
             return;
         }
-        const auto decision = takeToken(m_nodes[index].rates, "w", m_now);
+        const auto decision = takeOrBorrow(index);
         if (decision.admitted) {
             ++admitted;
             m_admitted.push_back(m_now);
