Send requests again within a budget that the fleet shares

Cause: what had arrived at a target was never sent again (repeat_arrivals was false), because a node alone cannot know what the fleet's budget leaves.

Each service now has a bucket for repeats beside those of workspaces: the same copies, bound and loans between peers hold it. A repeat pays for each arrival that it brings, the learned calls of its run included. A failed run of a route that makes calls is not repeated: mostly one of its calls failed and was sent again there. A new line, not_repeated, tells the verdict by request.

--- a/src/ragwortpin/dispatch/call.cpp
+++ b/src/ragwortpin/dispatch/call.cpp
@@ -93,7 +93,8 @@
     answer.unusedAllowance = parseNumber(fieldValue(response, field::UnusedAllowance), 0U);
     answer.level = parseLevel(fieldValue(response, field::ShedLevel));
     answer.load = parseNumber(fieldValue(response, field::Load), 0.0);
-    answer.arrivals = parseNumber(fieldValue(response, field::Arrivals), 1U);
+    const unsigned unstated{answer.refusal == refusal_kind::ContextInvalid ? 0U : 1U};
+    answer.arrivals = parseNumber(fieldValue(response, field::Arrivals), unstated);
     answer.pause = milliseconds{parseNumber(fieldValue(response, field::PauseMs), 0L)};
     removeInternalFields(response);
     answer.response = std::move(response);
--- a/src/ragwortpin/dispatch/dispatcher.cpp
+++ b/src/ragwortpin/dispatch/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "ragwortpin/dispatch/dispatcher.h"
 
 #include "ragwortpin/deadlines/deadlines.h"
+#include "ragwortpin/runtime/logging.h"
 
 #include <algorithm>
 
@@ -39,10 +40,22 @@
     }
 }
 
+/** Whether the target itself answered that it failed; another one may succeed. */
+bool isFailureOfTarget(const call_answer &answer)
+{
+    const auto status = answer.response.result();
+    return !answer.refusal && (status == http::status::internal_server_error || status == http::status::bad_gateway);
+}
+
 call_answer toAnswer(exchange_result result, const inbound_call &call, unsigned grant)
 {
     if (result.progress == exchange_progress::Answered) {
-        return readAnswerFields(std::move(*result.response));
+        auto answer = readAnswerFields(std::move(*result.response));
+        if (answer.refusal == refusal_kind::ContextInvalid) {
+            // A node that cannot read the context knows nothing of the grant in it.
+            answer.unusedAllowance = grant;
+        }
+        return answer;
     }
     if (result.progress == exchange_progress::NotSent) {
         const auto kind = call.control->cancelled() ? refusal_kind::Cancelled : refusal_kind::NoInstance;
@@ -54,6 +67,22 @@
     return answer;
 }
 
+/** One line for a request that arrived at a target in vain and is not sent again. */
+void logUnrepeated(const inbound_call &call, const call_answer &last, unsigned arrivals, retry_verdict verdict)
+{
+    if (arrivals == 0) {
+        return;
+    }
+    logEvent(log_level::Info,
+             "not_repeated",
+             {{"id", call.requestId},
+              {"route", call.context.route},
+              {"verdict", std::string{name(verdict)}},
+              {"status", std::to_string(last.response.result_int())},
+              {"instance", last.instance},
+              {"arrivals", std::to_string(arrivals)}});
+}
+
 std::vector<std::size_t> indicesOf(const routing_state &routing, const std::vector<std::string> &names)
 {
     std::vector<std::size_t> indices;
@@ -73,13 +102,15 @@
                        metrics_registry &metrics,
                        local_runner runLocally,
                        std::uint64_t seed,
-                       dispatch_options options)
+                       dispatch_options options,
+                       repeat_budget repeats)
     : m_self{std::move(self)}
     , m_client{client}
     , m_directory{directory}
     , m_runLocally{std::move(runLocally)}
     , m_random{seed}
     , m_options{options}
+    , m_repeats{std::move(repeats)}
     , m_attempts{metrics.counterFor("ragwortpin_attempts_total")}
     , m_retries{metrics.counterFor("ragwortpin_retries_total")}
     , m_shedEarly{metrics.counterFor("ragwortpin_shed_at_first_hop_total")}
@@ -114,6 +145,7 @@
     unsigned overloads{0};
     unsigned arrivals{0};
     std::optional<call_answer> last;
+    std::optional<call_answer> failedAtTarget;
     for (;;) {
         const auto instance = choose(*service, tried);
         if (!instance) {
@@ -137,13 +169,15 @@
         }
         arrivals += last->arrivals;
         last->instance = instance->name;
-        if (!last->refusal || call.control->cancelled()) {
+        const bool failed{isFailureOfTarget(*last)};
+        if ((!last->refusal && !failed) || call.control->cancelled()) {
             break;
         }
         overloads += classify(*last, call) == attempt_kind::Overloaded ? 1 : 0;
         const failed_attempt failure{.result = last->result,
                                      .refusal = last->refusal,
                                      .failedAtCallee = true,
+                                     .failedAtTarget = failed,
                                      .retryable = call.definition.retryable,
                                      .once = call.definition.once,
                                      .arrivals = arrivals,
@@ -151,19 +185,50 @@
                                      .earlierOverloads = overloads > 0 ? overloads - 1 : 0,
                                      .remaining = call.deadline - finished,
                                      .expected = duration::zero()};
-        if (arrivals > 0 && !m_options.repeatsArrivals) {
-            break;
-        }
-        if (mayRetry(failure, escrow, service->budget) != retry_verdict::Retry) {
+        const auto verdict = co_await grantRetry(failure, escrow, *service, call);
+        if (verdict != retry_verdict::Retry) {
+            logUnrepeated(call, *last, arrivals, verdict);
             break;
         }
         m_retries.add();
+        if (failed) {
+            failedAtTarget = std::move(last);
+        }
+    }
+    if (last->refusal && failedAtTarget && !call.control->cancelled()) {
+        last = std::move(failedAtTarget);
     }
     last->unusedAllowance = unusedAllowance(escrow);
     last->arrivals = arrivals;
     co_return std::move(*last);
 }
 
+boost::asio::awaitable<retry_verdict>
+dispatcher::grantRetry(failed_attempt failure, retry_escrow &escrow, service_directory &service, const inbound_call &call)
+{
+    if (failure.arrivals > 0 && !m_options.repeatsArrivals) {
+        co_return retry_verdict::BudgetSpent;
+    }
+    if (!m_repeats) {
+        co_return mayRetry(failure, escrow, service.budget);
+    }
+    const auto verdict = judgeAttempt(failure);
+    if (verdict != retry_verdict::Retry) {
+        co_return verdict;
+    }
+    if (escrow.available == 0) {
+        co_return retry_verdict::AllowanceSpent;
+    }
+    if (failure.arrivals > 0) {
+        repeat_request request{call.context.route, failure.result == outcome::NotRun, failure.failedAtTarget};
+        const bool isGranted{co_await m_repeats(std::move(request), call.control)};
+        if (!isGranted || call.control->cancelled()) {
+            co_return retry_verdict::BudgetSpent;
+        }
+    }
+    co_return spendRetry(escrow) ? retry_verdict::Retry : retry_verdict::AllowanceSpent;
+}
+
 void dispatcher::forgetOld(time_point now)
 {
     forgetRelaxed(m_shedMemory, now);
--- a/src/ragwortpin/dispatch/dispatcher.h
+++ b/src/ragwortpin/dispatch/dispatcher.h
@@ -6,6 +6,7 @@
 #include "ragwortpin/dispatch/directory.h"
 #include "ragwortpin/http/client_pool.h"
 #include "ragwortpin/identity/context.h"
+#include "ragwortpin/overload/repeats.h"
 #include "ragwortpin/runtime/metrics.h"
 
 #include <utility>
@@ -13,6 +14,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <functional>
+#include <memory>
 #include <random>
 #include <span>
 #include <string>
@@ -23,6 +25,9 @@
 /** Runs a call at the node's own target. */
 using local_runner = std::function<boost::asio::awaitable<call_answer>(inbound_call)>;
 
+/** Grants a request that is sent again from a budget that the fleet shares. */
+using repeat_budget = std::function<boost::asio::awaitable<bool>(repeat_request request, std::shared_ptr<call_control> control)>;
+
 /** Who the dispatcher acts for. */
 struct dispatcher_identity
 {
@@ -56,7 +61,8 @@
                metrics_registry &metrics,
                local_runner runLocally,
                std::uint64_t seed,
-               dispatch_options options = {});
+               dispatch_options options = {},
+               repeat_budget repeats = {});
 
     /** Carries out a call. The answer gives back the part of the retry allowance that was not used. */
     [[nodiscard]] boost::asio::awaitable<call_answer> dispatch(inbound_call call);
@@ -78,6 +84,9 @@
     [[nodiscard]] std::optional<attempt_target> choose(service_directory &service, const std::vector<std::string> &tried);
     [[nodiscard]] boost::asio::awaitable<call_answer> attempt(inbound_call call, attempt_target instance, unsigned grant);
     [[nodiscard]] boost::asio::awaitable<call_answer> forward(inbound_call call, attempt_target instance, unsigned grant);
+    /** Decides whether a failed attempt is followed by another one, and pays for it. */
+    [[nodiscard]] boost::asio::awaitable<retry_verdict>
+    grantRetry(failed_attempt failure, retry_escrow &escrow, service_directory &service, const inbound_call &call);
     void observe(
         service_directory &service, const attempt_target &instance, const call_answer &answer, const inbound_call &call, duration latency);
 
@@ -88,6 +97,7 @@
     shed_memory m_shedMemory;
     std::mt19937_64 m_random;
     dispatch_options m_options;
+    repeat_budget m_repeats;
     counter &m_attempts;
     counter &m_retries;
     counter &m_shedEarly;
--- a/src/ragwortpin/node/data_plane.cpp
+++ b/src/ragwortpin/node/data_plane.cpp
@@ -116,7 +116,8 @@
                        return runLocally(std::move(call));
                    },
                    randomSeed(),
-                   toDispatchOptions(settings)}
+                   toDispatchOptions(settings),
+                   sharedRepeats()}
     , m_rates{m_context, toRightsSettings(settings), toRightsIdentity(settings), m_services.rates, metrics}
     , m_fleet{m_context, settings, {m_services.sendDigest, m_services.rates.sendMessage}, metrics}
     , m_once{m_context, m_dispatcher, m_services.claims, metrics}
@@ -260,6 +261,18 @@
     }
 }
 
+/** The fleet's budget for requests that are sent again; none where each node keeps its own. */
+repeat_budget data_plane::sharedRepeats()
+{
+    const bool isLimited{m_settings.overload.fleetRepeats != repeat_limits{}};
+    if (m_settings.rateMethod != rate_method::Shared || !isLimited) {
+        return {};
+    }
+    return [this](repeat_request request, std::shared_ptr<call_control> control) {
+        return m_fleet.takeRepeat(std::move(request), std::move(control));
+    };
+}
+
 boost::asio::awaitable<rate_answer> data_plane::takeToken(std::string workspace, std::shared_ptr<call_control> control)
 {
     if (m_settings.rateMethod == rate_method::Shared) {
--- a/src/ragwortpin/node/data_plane.h
+++ b/src/ragwortpin/node/data_plane.h
@@ -90,6 +90,7 @@
 private:
     void handle(control_event event);
     void handle(operator_event event);
+    [[nodiscard]] repeat_budget sharedRepeats();
     void receiveLoan(const loan_event &loan);
     [[nodiscard]] boost::asio::awaitable<rate_answer> takeToken(std::string workspace, std::shared_ptr<call_control> control);
     void handleAnnouncement(const target_announcement &announcement);
--- a/src/ragwortpin/node/fleet_driver.cpp
+++ b/src/ragwortpin/node/fleet_driver.cpp
@@ -37,6 +37,7 @@
     : m_changed{context}
     , m_digests{startDigests({}, settings.instance, settings.availabilityZone)}
     , m_rates{makeSharedRates({}, monotonicNow())}
+    , m_repeatLimits{settings.overload.fleetRepeats}
     , m_outputs{std::move(outputs)}
     , m_members{std::make_shared<membership_view>()}
     , m_random{std::random_device{}()}
@@ -44,14 +45,16 @@
     , m_malformed{metrics.counterFor("ragwortpin_digests_malformed_total")}
     , m_shed{metrics.counterFor("ragwortpin_shed_by_plan_total")}
     , m_waited{metrics.counterFor("ragwortpin_rate_waits_total")}
+    , m_repeatsGranted{metrics.counterFor("ragwortpin_repeats_granted_total")}
+    , m_repeatsRefused{metrics.counterFor("ragwortpin_repeats_refused_total")}
     , m_roomAsked{metrics.counterFor("ragwortpin_rate_room_asked_total")}
     , m_roomBorrowed{metrics.counterFor("ragwortpin_rate_room_borrowed_total")}
 { }
 
 void fleet_driver::updateConfiguration(std::shared_ptr<const configuration_index> index)
 {
-    applyLimits(m_rates, index->value.workspaces, monotonicNow());
     m_index = std::move(index);
+    updateLimits();
 }
 
 bool fleet_driver::admit(std::string_view route, unsigned rank)
@@ -148,6 +151,8 @@
     const auto before = m_plan.plan;
     updatePlan(m_plan, *m_index, picture);
     logPlan(before, picture);
+    m_picture = std::move(picture);
+    updateLimits();
 }
 
 /** One line when first hops begin or cease to refuse a route, with what decided it. */
@@ -206,6 +211,38 @@
     co_return answer;
 }
 
+boost::asio::awaitable<bool> fleet_driver::takeRepeat(repeat_request request, std::shared_ptr<call_control> control)
+{
+    const auto costs = m_index ? repeatCosts(*m_index, m_picture, request) : std::map<std::string, std::size_t>{};
+    std::vector<std::string> taken;
+    bool isGranted{!costs.empty()};
+    for (const auto &[service, tokens] : costs) {
+        const auto bucket = repeatBucket(service);
+        for (std::size_t token{0}; token < tokens && isGranted; ++token) {
+            const auto answer = co_await take(bucket, control);
+            isGranted = answer.admitted && m_rates.buckets.contains(workspaceId(bucket));
+            if (isGranted) {
+                taken.push_back(bucket);
+            }
+        }
+    }
+    if (!isGranted) {
+        for (const auto &bucket : taken) {
+            returnToken(m_rates, bucket);
+        }
+    }
+    (isGranted ? m_repeatsGranted : m_repeatsRefused).add();
+    co_return isGranted;
+}
+
+void fleet_driver::updateLimits()
+{
+    auto limits = m_index->value.workspaces;
+    const auto repeats = repeatBuckets(*m_index, m_picture, m_repeatLimits);
+    limits.insert(limits.end(), repeats.begin(), repeats.end());
+    applyLimits(m_rates, limits, monotonicNow());
+}
+
 bool fleet_driver::askPeerForRoom(std::uint32_t workspace)
 {
     std::vector<const instance_record *> near;
--- a/src/ragwortpin/node/fleet_driver.h
+++ b/src/ragwortpin/node/fleet_driver.h
@@ -4,6 +4,7 @@
 #include "ragwortpin/callers/caller_gateway.h"
 #include "ragwortpin/digest/digest.h"
 #include "ragwortpin/node/settings.h"
+#include "ragwortpin/overload/repeats.h"
 #include "ragwortpin/rates/room_loan.h"
 #include "ragwortpin/rates/shared_rates.h"
 #include "ragwortpin/runtime/async_signal.h"
@@ -64,6 +65,9 @@
     /** Takes one token of a workspace; asks a peer for room and waits for the next round where that may help. */
     [[nodiscard]] boost::asio::awaitable<rate_answer> take(std::string workspace, std::shared_ptr<call_control> control);
 
+    /** Takes what sending a request again costs from the fleet's budgets, at every service that it and its calls arrive at. */
+    [[nodiscard]] boost::asio::awaitable<bool> takeRepeat(repeat_request request, std::shared_ptr<call_control> control);
+
     /** What the plan says of a route and rank, in words for a log line. */
     [[nodiscard]] std::string describePlan(std::string_view route, unsigned rank) const;
 
@@ -86,6 +90,8 @@
         double perSecond{0.0};
     };
 
+    /** Takes over the limits of workspaces and, from the demand on each service, those of repeated requests. */
+    void updateLimits();
     /** Asks a peer, one of the own availability zone if there is any. Returns whether an answer may come. */
     bool askPeerForRoom(std::uint32_t workspace);
     [[nodiscard]] node_digest ownDigest(target_gateway &target);
@@ -100,6 +106,8 @@
     std::shared_ptr<const configuration_index> m_index;
     std::map<admission_plan::key, arrivals> m_arrivals;
     plan_state m_plan;
+    load_picture m_picture;
+    repeat_limits m_repeatLimits;
     time_point m_lastTick{};
     fleet_outputs m_outputs;
     std::shared_ptr<const membership_view> m_members;
@@ -111,6 +119,8 @@
     counter &m_malformed;
     counter &m_shed;
     counter &m_waited;
+    counter &m_repeatsGranted;
+    counter &m_repeatsRefused;
     counter &m_roomAsked;
     counter &m_roomBorrowed;
 };
--- a/src/ragwortpin/node/settings.cpp
+++ b/src/ragwortpin/node/settings.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t MostSecrets{4};
 constexpr milliseconds LongestSetting{std::chrono::hours{48}};
 constexpr std::size_t LongestName{64};
+/** Far beyond the requests of any fleet within the window in which repeats are counted. */
+constexpr double MostRepeats{1e6};
 
 bool isInstanceName(const std::string &name) noexcept
 {
@@ -185,6 +187,9 @@
     overload.shedsByLevel = section->readBool("shed_by_level", overload.shedsByLevel);
     overload.plansAdmission = section->readBool("plan_admission", overload.plansAdmission);
     overload.repeatsArrivals = section->readBool("repeat_arrivals", overload.repeatsArrivals);
+    auto &repeats = overload.fleetRepeats;
+    repeats.part = section->readNumber("fleet_repeat_part", {0.0, 1.0}, repeats.part);
+    repeats.requests = section->readNumber("fleet_repeat_requests", {0.0, MostRepeats}, repeats.requests);
     section->finish();
 }
 
--- a/src/ragwortpin/node/settings.h
+++ b/src/ragwortpin/node/settings.h
@@ -9,6 +9,7 @@
 #include "ragwortpin/http/message.h"
 #include "ragwortpin/identity/context.h"
 #include "ragwortpin/node/fwd.h"
+#include "ragwortpin/overload/repeats.h"
 #include "ragwortpin/runtime/logging.h"
 
 #include <functional>
@@ -71,6 +72,11 @@
     bool plansAdmission{false};
     /** Whether a request that may have arrived at a target is ever sent to another one. */
     bool repeatsArrivals{true};
+    /**
+     * Requests that the whole fleet may send again to a service although they arrived at a target. Where both figures are 0 each
+     * node keeps a budget of its own.
+     */
+    repeat_limits fleetRepeats{};
 
     bool operator==(const overload_settings &) const = default;
 };
--- a/src/ragwortpin/overload/fwd.h
+++ b/src/ragwortpin/overload/fwd.h
@@ -10,6 +10,8 @@
 struct load_picture;
 struct admission_plan;
 struct plan_state;
+struct repeat_request;
+struct repeat_limits;
 
 } // namespace ragwortpin
 
--- a/src/ragwortpin/overload/plan.cpp
+++ b/src/ragwortpin/overload/plan.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <span>
 #include <utility>
 
 namespace ragwortpin {
@@ -31,6 +32,23 @@
 /** Part of a request's whole slot time below which it does not need a service; calls attributed wrongly are fewer. */
 constexpr double NegligiblePart{0.05};
 
+/** Services of a route with the parts of its requests that they get, which add up to one. */
+std::vector<weighted_service> partsOf(const route &definition)
+{
+    if (definition.split.empty()) {
+        return {{definition.service, 1.0}};
+    }
+    double total{0.0};
+    for (const auto &part : definition.split) {
+        total += part.weight;
+    }
+    auto parts = definition.split;
+    for (auto &part : parts) {
+        part.weight /= total;
+    }
+    return parts;
+}
+
 /** Profiles found by service and route, and routes by id, for one round of planning. */
 class cost_table
 {
@@ -53,16 +71,22 @@
 
     void add(service_costs &costs, const route &definition, double requests, unsigned depth) const
     {
-        if (definition.split.empty()) {
-            addAt(costs, definition.service, definition, requests, depth);
-            return;
+        for (const auto &part : partsOf(definition)) {
+            addAt(costs, part.service, definition, requests * part.weight, depth);
         }
-        double total{0.0};
-        for (const auto &part : definition.split) {
-            total += part.weight;
-        }
-        for (const auto &part : definition.split) {
-            addAt(costs, part.service, definition, requests * part.weight / total, depth);
+    }
+
+    /** Counts the requests themselves; a route that nothing is known of makes no calls. */
+    void countArrivals(service_arrivals &arrivals, const route &definition, double requests, unsigned depth) const
+    {
+        for (const auto &part : partsOf(definition)) {
+            const double here{requests * part.weight};
+            arrivals[part.service] += here;
+            for (const auto &item : callsOf(part.service, definition, depth)) {
+                if (const auto *called = findRoute(item.route)) {
+                    countArrivals(arrivals, called->definition, here * item.calls, depth + 1);
+                }
+            }
         }
     }
 
@@ -91,6 +115,13 @@
         into.runs = runs;
     }
 
+    /** Calls of a run at a service; none where the calls are followed no deeper. */
+    [[nodiscard]] std::span<const calls_per_run> callsOf(const std::string &service, const route &definition, unsigned depth) const
+    {
+        const auto found = m_profiles.find({service, routeId(definition.name)});
+        return found == m_profiles.end() || depth == DeepestCall ? std::span<const calls_per_run>{} : found->second.calls;
+    }
+
     void addAt(service_costs &costs, const std::string &service, const route &definition, double requests, unsigned depth) const
     {
         const auto found = m_profiles.find({service, routeId(definition.name)});
@@ -98,10 +129,7 @@
             return;
         }
         costs[service] += requests * found->second.slotTime;
-        if (depth == DeepestCall) {
-            return;
-        }
-        for (const auto &item : found->second.calls) {
+        for (const auto &item : callsOf(service, definition, depth)) {
             if (const auto *called = findRoute(item.route)) {
                 add(costs, called->definition, requests * item.calls, depth + 1);
             }
@@ -242,6 +270,29 @@
     return costs;
 }
 
+service_arrivals arrivalsOf(const configuration_index &index, const load_picture &picture, const route &definition)
+{
+    service_arrivals arrivals;
+    cost_table{index, picture}.countArrivals(arrivals, definition, 1.0, 0);
+    return arrivals;
+}
+
+service_arrivals demandByService(const configuration_index &index, const load_picture &picture)
+{
+    const cost_table table{index, picture};
+    service_arrivals demand;
+    for (const auto &item : picture.demands) {
+        const auto *found = table.findRoute(item.route);
+        if (found == nullptr) {
+            continue;
+        }
+        for (const auto &part : partsOf(found->definition)) {
+            demand[part.service] += item.perSecond * part.weight;
+        }
+    }
+    return demand;
+}
+
 void updatePlan(plan_state &state, const configuration_index &index, const load_picture &picture)
 {
     const cost_table table{index, picture};
--- a/src/ragwortpin/overload/plan.h
+++ b/src/ragwortpin/overload/plan.h
@@ -90,6 +90,15 @@
 /** Works out what a request of a route costs, from the profiles of it and of the routes that its runs call. */
 [[nodiscard]] service_costs costOf(const configuration_index &index, const load_picture &picture, const route &definition);
 
+/** Requests that arrive at each service for one request, the calls behind it included. */
+using service_arrivals = std::map<std::string, double, std::less<>>;
+
+/** Works out how often a request of a route and the calls behind it arrive at each service, from the same profiles. */
+[[nodiscard]] service_arrivals arrivalsOf(const configuration_index &index, const load_picture &picture, const route &definition);
+
+/** Requests a second from outside whose route leads to each service. */
+[[nodiscard]] service_arrivals demandByService(const configuration_index &index, const load_picture &picture);
+
 /**
  * Plans which requests first hops pass so that each service gets no more work than its slots can do: more important ranks first,
  * within a rank more important routes first, and of those that fit in part, the same part of every route that needs the service.
--- a/src/ragwortpin/retries/retries.cpp
+++ b/src/ragwortpin/retries/retries.cpp
@@ -29,7 +29,8 @@
     if (attempt.result == outcome::NotRun) {
         return false;
     }
-    return attempt.result == outcome::Ran || attempt.once || !attempt.retryable;
+    const bool succeeded{attempt.result == outcome::Ran && !attempt.failedAtTarget};
+    return succeeded || attempt.once || !attempt.retryable;
 }
 
 [[nodiscard]] constexpr retry_verdict checkAttempt(const failed_attempt &attempt) noexcept
@@ -98,6 +99,36 @@
     budget.tokens = std::min(budget.capacity, budget.tokens + budget.ratio);
 }
 
+std::string_view name(retry_verdict verdict) noexcept
+{
+    switch (verdict) {
+    case retry_verdict::Retry:
+        return "retry";
+    case retry_verdict::OutcomeForbids:
+        return "outcome_forbids";
+    case retry_verdict::RefusalIsFinal:
+        return "refusal_is_final";
+    case retry_verdict::NotNextToFailure:
+        return "not_next_to_failure";
+    case retry_verdict::OverloadedTwice:
+        return "overloaded_twice";
+    case retry_verdict::DeadlineTooNear:
+        return "deadline_too_near";
+    case retry_verdict::AttemptsSpent:
+        return "attempts_spent";
+    case retry_verdict::AllowanceSpent:
+        return "allowance_spent";
+    case retry_verdict::BudgetSpent:
+        return "budget_spent";
+    }
+    return "unknown";
+}
+
+retry_verdict judgeAttempt(const failed_attempt &attempt) noexcept
+{
+    return internal::checkAttempt(attempt);
+}
+
 retry_verdict mayRetry(const failed_attempt &attempt, retry_escrow &escrow, retry_budget &budget) noexcept
 {
     const retry_verdict verdict{internal::checkAttempt(attempt)};
--- a/src/ragwortpin/retries/retries.h
+++ b/src/ragwortpin/retries/retries.h
@@ -8,6 +8,7 @@
 
 #include <limits>
 #include <optional>
+#include <string_view>
 
 namespace ragwortpin {
 
@@ -43,6 +44,8 @@
     std::optional<refusal_kind> refusal;
     /** Whether the failure is one of the instance that was called, not of a hop behind it. */
     bool failedAtCallee{true};
+    /** Whether the target ran the request and answered that it failed. */
+    bool failedAtTarget{false};
     /** Whether the route allows retries of requests whose outcome is unknown. */
     bool retryable{false};
     /** Whether the route runs a request at most once. */
@@ -79,6 +82,12 @@
     BudgetSpent,
 };
 
+/** Name of a verdict, for logs. */
+[[nodiscard]] std::string_view name(retry_verdict verdict) noexcept;
+
+/** Decides whether another attempt may be made at all, budgets and allowances apart. */
+[[nodiscard]] retry_verdict judgeAttempt(const failed_attempt &attempt) noexcept;
+
 /**
  * Decides on a retry; on Retry, one retry of the escrow and one token of the budget are spent. An attempt that arrived at no
  * target costs no token, since the target gets the retry as its first.
--- a/tests/dispatch/call_test.cpp
+++ b/tests/dispatch/call_test.cpp
@@ -54,3 +54,11 @@
         CHECK(answer.load == 0.0);
     }
 }
+
+TEST_CASE("a node that could not read the context reached no target")
+{
+    const auto refused = readAnswerFields(makeRefusal(refusal_kind::ContextInvalid, outcome::NotRun));
+    CHECK(refused.arrivals == 0);
+    const auto overloaded = readAnswerFields(makeRefusal(refusal_kind::Overloaded, outcome::NotRun));
+    CHECK(overloaded.arrivals == 1);
+}
--- a/tests/retries/retries_test.cpp
+++ b/tests/retries/retries_test.cpp
@@ -49,7 +49,19 @@
     const auto late = [](failed_attempt &attempt) {
         attempt.remaining = milliseconds{10};
     };
+    const auto failedAtTarget = [](failed_attempt &attempt) {
+        attempt.failedAtTarget = true;
+    };
     static const std::vector<verdict_case> cases{
+        {"failed at the target, on a retryable route",
+         with(failedWith(outcome::Ran, {}, true, false), failedAtTarget),
+         retry_verdict::Retry},
+        {"failed at the target, on a route that runs once",
+         with(failedWith(outcome::Ran, {}, true, true), failedAtTarget),
+         retry_verdict::OutcomeForbids},
+        {"failed at the target, on a route that forbids retries",
+         with(failedWith(outcome::Ran, {}, false, false), failedAtTarget),
+         retry_verdict::OutcomeForbids},
         {"connection refused", failedWith(outcome::NotRun, {}, false, true), retry_verdict::Retry},
         {"draining", failedWith(outcome::NotRun, refusal_kind::Draining, false, true), retry_verdict::Retry},
         {"lost answer of a retryable route", failedWith(outcome::Unknown, refusal_kind::AnswerLost, true, false), retry_verdict::Retry},
