--- a/src/ragwortpin/callers/caller_gateway.cpp
+++ b/src/ragwortpin/callers/caller_gateway.cpp
@@ -181,6 +181,7 @@
                       .control = std::move(control)};
     call.callerDeadline = arrived + callerWait.value_or(definition.deadline);
     call.definition.service = call.context.service;
+    call.requestId = std::string{call.request[m_services.headers.requestId]};
     co_return co_await admitAndRun(std::move(call));
 }
 
