--- a/src/ragwortpin/dispatch/dispatcher.cpp
+++ b/src/ragwortpin/dispatch/dispatcher.cpp
@@ -149,7 +149,7 @@
     for (;;) {
         const auto instance = choose(*service, tried);
         if (!instance) {
-            if (last) {
+            if (last || failedAtTarget) {
                 break;
             }
             co_return refuseCall(refusal_kind::NoInstance, outcome::NotRun, unusedAllowance(escrow), NoInstancePause);
@@ -192,10 +192,11 @@
         }
         m_retries.add();
         if (failed) {
-            failedAtTarget = std::move(last);
+            failedAtTarget = std::exchange(last, std::nullopt);
         }
     }
-    if (last->refusal && failedAtTarget && !call.control->cancelled()) {
+    const bool isRefused{!last || (last->refusal && !call.control->cancelled())};
+    if (failedAtTarget && isRefused) {
         last = std::move(failedAtTarget);
     }
     last->unusedAllowance = unusedAllowance(escrow);
