One copy each of address formatting, of finding an instance and of small codecs

toText(endpoint) stood in operators and, spelled out, in six more places, where IPv6 numbers went without brackets; it is beside parseEndpoint() now. Instances of a membership view were found by name in three ways; findInstance() is beside the view.

Left: the codec of digests (several values in one payload, figures in thousandths) and that of membership (short and long forms) keep their own readers.

--- a/src/ragwortpin/core/wire.h
+++ b/src/ragwortpin/core/wire.h
@@ -8,10 +8,12 @@
 #include <cmath>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tuple>
 #include <type_traits>
+#include <utility>
 #include <vector>
 
 namespace ragwortpin::internal {
@@ -188,6 +190,17 @@
     }
 }
 
+/** Decodes what encodeStruct() wrote; nothing when the bytes are not it. */
+template<typename Value>
+[[nodiscard]] std::optional<Value> decodeStruct(std::string_view bytes, const wire_limits &limits = {})
+{
+    Value value;
+    const bool isDecoded{decodeBytes(bytes, limits, [&value, &limits](const msgpack::object &object) {
+        unpackValue(object, value, limits);
+    })};
+    return isDecoded ? std::optional{std::move(value)} : std::nullopt;
+}
+
 } // namespace ragwortpin::internal
 
 #endif
--- a/src/ragwortpin/digest/digest.cpp
+++ b/src/ragwortpin/digest/digest.cpp
@@ -161,10 +161,8 @@
         return std::nullopt;
     }
     const bool carriesOthers{digests->size() > 1 || (digests->size() == 1 && digests->front().usage.instance != sender)};
-    const auto known = std::find_if(members.instances.begin(), members.instances.end(), [sender](const instance_record &record) {
-        return record.name == sender;
-    });
-    const bool isForeign{known != members.instances.end() && known->availabilityZone != state.availabilityZone};
+    const auto *known = findInstance(members, sender);
+    const bool isForeign{known != nullptr && known->availabilityZone != state.availabilityZone};
     if (carriesOthers || isForeign) {
         internal::noteRelay(state, sender, members, now);
     }
--- a/src/ragwortpin/discovery/discovery.cpp
+++ b/src/ragwortpin/discovery/discovery.cpp
@@ -9,11 +9,6 @@
 
 namespace {
 
-std::string toText(const peer_address &address)
-{
-    return address.address + ':' + std::to_string(address.port);
-}
-
 /** First key that does not begin with the prefix. */
 std::string prefixEnd(std::string prefix)
 {
@@ -44,7 +39,7 @@
         return result;
     }
     const auto ownKey = settings.prefix + settings.instance;
-    const auto ownValue = toText(settings.self);
+    const auto ownValue = toText(endpoint{settings.self.address, settings.self.port});
     std::int64_t ownRevision{0};
     for (const auto &entry : listed.entries) {
         const auto address = parseEndpoint(entry.value);
--- a/src/ragwortpin/http/address.cpp
+++ b/src/ragwortpin/http/address.cpp
@@ -28,4 +28,10 @@
     return endpoint{host, port};
 }
 
+std::string toText(const endpoint &address)
+{
+    const bool isVersion6{address.address.find(':') != std::string::npos};
+    return (isVersion6 ? '[' + address.address + ']' : address.address) + ':' + std::to_string(address.port);
+}
+
 } // namespace ragwortpin
--- a/src/ragwortpin/http/address.h
+++ b/src/ragwortpin/http/address.h
@@ -11,6 +11,9 @@
 /** Parses IP:PORT; IPv6 numbers stand in brackets. Nothing when it is none. */
 [[nodiscard]] std::optional<endpoint> parseEndpoint(const std::string &text);
 
+/** Formats an address as parseEndpoint() reads it. */
+[[nodiscard]] std::string toText(const endpoint &address);
+
 } // namespace ragwortpin
 
 #endif
--- a/src/ragwortpin/membership/view.h
+++ b/src/ragwortpin/membership/view.h
@@ -3,8 +3,10 @@
 
 #include "ragwortpin/membership/fwd.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace ragwortpin {
@@ -52,6 +54,16 @@
     bool operator==(const membership_view &) const = default;
 };
 
+/** Finds an instance by name; null when it is not believed alive. The pointer is valid as long as the view. */
+[[nodiscard]] inline const instance_record *findInstance(const membership_view &view, std::string_view name) noexcept
+{
+    const auto found
+        = std::lower_bound(view.instances.begin(), view.instances.end(), name, [](const instance_record &record, std::string_view wanted) {
+              return record.name < wanted;
+          });
+    return found != view.instances.end() && found->name == name ? &*found : nullptr;
+}
+
 } // namespace ragwortpin
 
 #endif
--- a/src/ragwortpin/node/data_plane.cpp
+++ b/src/ragwortpin/node/data_plane.cpp
@@ -1,5 +1,6 @@
 #include "ragwortpin/node/data_plane.h"
 
+#include "ragwortpin/http/address.h"
 #include "ragwortpin/peers/control_server.h"
 #include "ragwortpin/peers/signature.h"
 #include "ragwortpin/runtime/logging.h"
@@ -67,10 +68,8 @@
 rights_identity toRightsIdentity(const node_settings &settings)
 {
     const auto &peers = settings.addresses.peers;
-    return {.name = settings.instance,
-            .availabilityZone = settings.availabilityZone,
-            .address = peers.address + ':' + std::to_string(peers.port),
-            .incarnation = randomSeed()};
+    return {
+        .name = settings.instance, .availabilityZone = settings.availabilityZone, .address = toText(peers), .incarnation = randomSeed()};
 }
 
 } // namespace
@@ -201,8 +200,7 @@
     for (const auto &entry : listeners) {
         const auto error = entry.server.listen(entry.address);
         if (error) {
-            return std::string{entry.name} + " " + entry.address.address + ':' + std::to_string(entry.address.port) + ": "
-                + error.message();
+            return std::string{entry.name} + ' ' + toText(entry.address) + ": " + error.message();
         }
     }
     return {};
--- a/src/ragwortpin/node/rate_driver.cpp
+++ b/src/ragwortpin/node/rate_driver.cpp
@@ -1,22 +1,7 @@
 #include "ragwortpin/node/rate_driver.h"
 
-#include <algorithm>
-
 namespace ragwortpin {
 
-namespace {
-
-const instance_record *findInstance(const membership_view &view, const std::string &name)
-{
-    const auto found = std::lower_bound(
-        view.instances.begin(), view.instances.end(), name, [](const instance_record &record, const std::string &wanted) {
-            return record.name < wanted;
-        });
-    return found != view.instances.end() && found->name == name ? &*found : nullptr;
-}
-
-} // namespace
-
 rate_driver::rate_driver(boost::asio::io_context &context,
                          const rights_settings &settings,
                          const rights_identity &self,
--- a/src/ragwortpin/operators/commands.cpp
+++ b/src/ragwortpin/operators/commands.cpp
@@ -5,6 +5,7 @@
 #include "ragwortpin/config/parse.h"
 #include "ragwortpin/config/publication.h"
 #include "ragwortpin/config/serialise.h"
+#include "ragwortpin/http/address.h"
 #include "ragwortpin/identity/digest.h"
 #include "ragwortpin/operators/report.h"
 
--- a/src/ragwortpin/operators/fleet_status.cpp
+++ b/src/ragwortpin/operators/fleet_status.cpp
@@ -1,5 +1,6 @@
 #include "ragwortpin/operators/fleet_status.h"
 
+#include "ragwortpin/http/address.h"
 #include "ragwortpin/http/client_pool.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -23,7 +24,7 @@
 {
     constexpr unsigned Http11{11};
     http_request request{http::verb::get, "/status", Http11};
-    request.set(http::field::host, address.address + ":" + std::to_string(address.port));
+    request.set(http::field::host, toText(address));
     return request;
 }
 
--- a/src/ragwortpin/operators/report.cpp
+++ b/src/ragwortpin/operators/report.cpp
@@ -1,5 +1,7 @@
 #include "ragwortpin/operators/report.h"
 
+#include "ragwortpin/http/address.h"
+
 #include <jsoncpp/json/writer.h>
 
 #include <array>
@@ -245,10 +247,4 @@
     return text;
 }
 
-std::string toText(const endpoint &address)
-{
-    const bool isVersion6 = address.address.find(':') != std::string::npos;
-    return (isVersion6 ? "[" + address.address + "]" : address.address) + ":" + std::to_string(address.port);
-}
-
 } // namespace ragwortpin
--- a/src/ragwortpin/operators/report.h
+++ b/src/ragwortpin/operators/report.h
@@ -47,9 +47,6 @@
 /** One line for each node. */
 [[nodiscard]] std::string toText(const std::vector<node_report> &reports);
 
-/** Address as IP:PORT. */
-[[nodiscard]] std::string toText(const endpoint &address);
-
 } // namespace ragwortpin
 
 #endif
--- a/src/ragwortpin/rates/room_loan.cpp
+++ b/src/ragwortpin/rates/room_loan.cpp
@@ -3,6 +3,7 @@
 #include "ragwortpin/core/wire.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace ragwortpin {
 
@@ -39,11 +40,7 @@
 
 std::optional<room_message> decodeRoomMessage(std::string_view payload)
 {
-    room_message message;
-    const bool isDecoded{internal::decodeBytes(payload, {}, [&message](const msgpack::object &object) {
-        internal::unpackValue(object, message, {});
-    })};
-    return isDecoded ? std::optional{message} : std::nullopt;
+    return internal::decodeStruct<room_message>(payload);
 }
 
 bool isAsked(const room_questions &questions, std::uint32_t workspace) noexcept
--- a/src/ragwortpin/rights/slot_record.cpp
+++ b/src/ragwortpin/rights/slot_record.cpp
@@ -58,15 +58,11 @@
 slot_record decodeSlotRecord(std::string_view bytes, std::error_code &error)
 {
     error.clear();
-    slot_record record;
-    const auto whole = internal::decodeBytes(bytes, RecordLimits, [&record](const msgpack::object &object) {
-        internal::unpackValue(object, record, RecordLimits);
-    });
-    if (!whole) {
+    const auto record = internal::decodeStruct<slot_record>(bytes, RecordLimits);
+    if (!record) {
         error = rights_errc::RecordMalformed;
-        return {};
     }
-    return record;
+    return record.value_or(slot_record{});
 }
 
 } // namespace ragwortpin
--- a/src/ragwortpin/spread/proof.cpp
+++ b/src/ragwortpin/spread/proof.cpp
@@ -1,15 +1,19 @@
 #include "ragwortpin/spread/proof.h"
 
-#include <msgpack.hpp>
+#include "ragwortpin/core/wire.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace ragwortpin {
 
 namespace {
 
-constexpr std::size_t MessageFields{4};
-constexpr std::size_t MaxDepth{1};
+template<typename Message>
+[[nodiscard]] auto wireFieldsOf(Message &message)
+{
+    return std::tie(message.nonce, message.isAnswer, message.revision, message.age);
+}
 
 bool isOld(const proof_state &state, time_point now)
 {
@@ -27,6 +31,16 @@
 
 } // namespace
 
+static auto wireFields(proof_message &message)
+{
+    return wireFieldsOf(message);
+}
+
+static auto wireFields(const proof_message &message)
+{
+    return wireFieldsOf(message);
+}
+
 std::vector<proof_output> tickProof(proof_state &state, time_point now, std::span<const instance_record> peers, std::mt19937_64 &random)
 {
     std::vector<proof_output> messages;
@@ -68,36 +82,12 @@
 
 std::string encode(const proof_message &message)
 {
-    msgpack::sbuffer buffer;
-    msgpack::packer<msgpack::sbuffer> out{buffer};
-    out.pack_array(MessageFields);
-    out.pack(message.nonce);
-    out.pack(message.isAnswer);
-    out.pack(message.revision);
-    out.pack(message.age.count());
-    return {buffer.data(), buffer.size()};
+    return internal::encodeStruct(message);
 }
 
 std::optional<proof_message> decodeProofMessage(std::string_view bytes)
 {
-    try {
-        const msgpack::unpack_limit limit{MessageFields, 0, 0, 0, 0, MaxDepth};
-        std::size_t offset{0};
-        const auto handle = msgpack::unpack(bytes.data(), bytes.size(), offset, nullptr, nullptr, limit);
-        const auto &object = handle.get();
-        if (offset != bytes.size() || object.type != msgpack::type::ARRAY || object.via.array.size != MessageFields) {
-            return std::nullopt;
-        }
-        const auto *fields = object.via.array.ptr;
-        return proof_message{.nonce = fields[0].as<std::uint64_t>(),
-                             .isAnswer = fields[1].as<bool>(),
-                             .revision = fields[2].as<std::uint64_t>(),
-                             .age = duration{fields[3].as<duration::rep>()}};
-    } catch (const msgpack::unpack_error &) {
-        return std::nullopt;
-    } catch (const msgpack::type_error &) {
-        return std::nullopt;
-    }
+    return internal::decodeStruct<proof_message>(bytes);
 }
 
 } // namespace ragwortpin
--- a/src/ragwortpin/store/client.cpp
+++ b/src/ragwortpin/store/client.cpp
@@ -1,5 +1,6 @@
 #include "ragwortpin/store/client.h"
 
+#include "ragwortpin/http/address.h"
 #include "ragwortpin/http/client_pool.h"
 #include "ragwortpin/store/error.h"
 
@@ -23,7 +24,7 @@
 {
     constexpr unsigned Http11{11};
     http_request request{call.method, call.target, Http11};
-    request.set(http::field::host, server.address + ":" + std::to_string(server.port));
+    request.set(http::field::host, toText(server));
     if (!call.body.empty()) {
         request.set(http::field::content_type, "application/json");
     }
