Fit digests into a datagram, and let workspaces take turns in them

Cause, found by reading: a digest lists up to 56 workspaces, 24 demands and 12 profiles, each bounded "to fit a datagram", but together they do not. Sealing refuses what is too large and only counts it, so a node with many active workspaces would fall silent to the whole fleet: its part of every rate set aside, its load unknown. And where more than 56 were active, always the same ones with the most demand were told of; what was admitted of the others was never taken off anywhere. Deployments with 8 workspaces do not get there, those with 80 do.

A digest is shortened to fit, workspaces that were not told of for longest come first, and a peer that leaves one out of a report keeps its last figures for 2 s.

Tests, seen failing with the old choice put back: 90 workspaces and 12 demands took 1934 bytes and a full digest 2929 of 1024; of 80 workspaces 30 were told of in reports with room for 30 (30 == 80).

Also: limits of repeats are updated each round without copying those of all workspaces; a request whose caller left while it waited takes no token any more; the count of peers in the reason of a 429 leaves out silent ones.

--- a/src/ragwortpin/digest/codec.cpp
+++ b/src/ragwortpin/digest/codec.cpp
@@ -19,6 +19,9 @@
 constexpr std::uint32_t DemandFields{3};
 constexpr std::uint32_t ProfileFields{4};
 constexpr std::uint32_t CallFields{2};
+/** Usages that are kept where a digest is too long, and the most bytes that one takes. */
+constexpr std::size_t LeastUsages{24};
+constexpr std::size_t MostUsageBytes{20};
 /** Fractional figures travel in thousandths. */
 constexpr double Scale{1000.0};
 constexpr double MostScaled{1e9};
@@ -167,6 +170,24 @@
 
 } // namespace
 
+void fitDatagram(node_digest &digest)
+{
+    for (auto size = encodeOne(digest).size(); size > MaxDatagramPayloadBytes; size = encodeOne(digest).size()) {
+        const std::size_t excess{(size - MaxDatagramPayloadBytes) / MostUsageBytes + 1};
+        auto &usages = digest.usage.usages;
+        if (usages.size() > LeastUsages) {
+            usages.resize(usages.size() - std::min(excess, usages.size() - LeastUsages));
+        } else if (digest.profiles.size() > 1) {
+            digest.profiles.pop_back();
+        } else if (!digest.demands.empty()) {
+            digest.demands.pop_back();
+        } else {
+            // Names and a single profile are bounded well below a datagram.
+            return;
+        }
+    }
+}
+
 std::string encodeDigests(const std::vector<const node_digest *> &digests, std::size_t &position)
 {
     std::string payload;
--- a/src/ragwortpin/digest/digest.h
+++ b/src/ragwortpin/digest/digest.h
@@ -114,6 +114,12 @@
 [[nodiscard]] std::optional<std::vector<node_digest>>
 receiveDigests(digest_state &state, std::string_view sender, const membership_view &members, std::string_view payload, time_point now);
 
+/**
+ * Shortens the lists of a digest until it fits a datagram, from their ends: usages first, down to a number that lets all workspaces
+ * of a large fleet have their turn within a second, then profiles and demands.
+ */
+void fitDatagram(node_digest &digest);
+
 /** Encodes digests as MessagePack, as many from the given position on as fit a datagram; the position is moved behind them. */
 [[nodiscard]] std::string encodeDigests(const std::vector<const node_digest *> &digests, std::size_t &position);
 
--- a/src/ragwortpin/node/fleet_driver.cpp
+++ b/src/ragwortpin/node/fleet_driver.cpp
@@ -15,7 +15,7 @@
 constexpr milliseconds DemandMemory{800};
 constexpr double NegligibleDemand{0.02};
 
-/** Profiles and demands in one digest, which has to fit a datagram. */
+/** Profiles and demands in one digest. */
 constexpr std::size_t MostProfiles{12};
 constexpr std::size_t MostDemands{24};
 
@@ -54,7 +54,10 @@
 void fleet_driver::updateConfiguration(std::shared_ptr<const configuration_index> index)
 {
     m_index = std::move(index);
-    updateLimits();
+    auto limits = m_index->value.workspaces;
+    const auto repeats = repeatBuckets(*m_index, m_picture, m_repeatLimits);
+    limits.insert(limits.end(), repeats.begin(), repeats.end());
+    applyLimits(m_rates, limits, monotonicNow());
 }
 
 bool fleet_driver::admit(std::string_view route, unsigned rank)
@@ -152,7 +155,9 @@
     updatePlan(m_plan, *m_index, picture);
     logPlan(before, picture);
     m_picture = std::move(picture);
-    updateLimits();
+    for (const auto &bucket : repeatBuckets(*m_index, m_picture, m_repeatLimits)) {
+        applyLimit(m_rates, bucket, monotonicNow());
+    }
 }
 
 /** One line when first hops begin or cease to refuse a route, with what decided it. */
@@ -202,7 +207,9 @@
         }
         m_waited.add();
         co_await m_changed.wait();
-        decision = takeToken(m_rates, workspace, monotonicNow());
+        if (!control->cancelled()) {
+            decision = takeToken(m_rates, workspace, monotonicNow());
+        }
     }
     rate_answer answer{decision.admitted, decision.retryAfter, {}};
     if (!decision.admitted) {
@@ -235,14 +242,6 @@
     co_return isGranted;
 }
 
-void fleet_driver::updateLimits()
-{
-    auto limits = m_index->value.workspaces;
-    const auto repeats = repeatBuckets(*m_index, m_picture, m_repeatLimits);
-    limits.insert(limits.end(), repeats.begin(), repeats.end());
-    applyLimits(m_rates, limits, monotonicNow());
-}
-
 bool fleet_driver::askPeerForRoom(std::uint32_t workspace)
 {
     std::vector<const instance_record *> near;
@@ -279,10 +278,7 @@
         }
         return;
     }
-    const auto peer = std::find_if(m_members->instances.begin(), m_members->instances.end(), [sender](const auto &record) {
-        return record.name == sender;
-    });
-    if (peer != m_members->instances.end()) {
+    if (const auto *peer = findInstance(*m_members, sender)) {
         m_outputs.sendLoan(*peer, encode(answerForRoom(m_rates, *message, monotonicNow())));
     }
 }
@@ -297,7 +293,7 @@
     return "tokens " + std::to_string(bucket.level) + " of " + std::to_string(bucket.burst) + ", own allowance "
         + std::to_string(bucket.allowance) + ", exposed " + std::to_string(bucket.exposedCount) + " of "
         + std::to_string(bucket.exposedLimit) + ", rate " + std::to_string(bucket.rate) + "/s, the fleet asks "
-        + std::to_string(bucket.fleetDemand) + "/s, peers heard " + std::to_string(m_rates.peers.size());
+        + std::to_string(bucket.fleetDemand) + "/s, peers heard " + std::to_string(heardPeers(m_rates));
 }
 
 std::string fleet_driver::describePlan(std::string_view route, unsigned rank) const
@@ -327,11 +323,15 @@
         digest.profiles.resize(std::min(digest.profiles.size(), MostProfiles));
     }
     for (const auto &[key, arrived] : m_arrivals) {
-        if (digest.demands.size() < MostDemands) {
-            digest.demands.push_back({key.route, key.rank, arrived.perSecond});
-        }
+        digest.demands.push_back({key.route, key.rank, arrived.perSecond});
     }
+    std::sort(digest.demands.begin(), digest.demands.end(), [](const route_demand &left, const route_demand &right) {
+        return left.perSecond > right.perSecond;
+    });
+    digest.demands.resize(std::min(digest.demands.size(), MostDemands));
     digest.usage = {.instance = m_digests.instance, .incarnation = m_incarnation, .sequence = ++m_sequence, .usages = ownUsages(m_rates)};
+    fitDatagram(digest);
+    noteReported(m_rates, digest.usage.usages, monotonicNow());
     return digest;
 }
 
--- a/src/ragwortpin/node/fleet_driver.h
+++ b/src/ragwortpin/node/fleet_driver.h
@@ -90,8 +90,6 @@
         double perSecond{0.0};
     };
 
-    /** Takes over the limits of workspaces and, from the demand on each service, those of repeated requests. */
-    void updateLimits();
     /** Asks a peer, one of the own availability zone if there is any. Returns whether an answer may come. */
     bool askPeerForRoom(std::uint32_t workspace);
     [[nodiscard]] node_digest ownDigest(target_gateway &target);
--- a/src/ragwortpin/rates/shared_rates.cpp
+++ b/src/ragwortpin/rates/shared_rates.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 #include <unordered_set>
 
 namespace ragwortpin {
@@ -19,9 +20,6 @@
 /** Demand below which a workspace is left out of reports, in requests a second. */
 constexpr double ReportedDemand{0.01};
 
-/** Workspaces in one report, which has to fit a datagram; those with less demand wait for a later one. */
-constexpr std::size_t MostReported{56};
-
 constexpr duration ShortestRetryAfter{milliseconds{250}};
 constexpr duration LongestRetryAfter{seconds{3}};
 
@@ -44,9 +42,9 @@
 }
 
 /** Replaces what a peer was taken to have admitted by what it says. */
-[[nodiscard]] peer_usage settle(shared_rates &state, const workspace_usage &reported, const peer_usage &before)
+[[nodiscard]] peer_usage settle(shared_rates &state, const workspace_usage &reported, const peer_usage &before, time_point now)
 {
-    const peer_usage after{.admitted = reported.admitted, .demand = reported.demand, .assumed = 0.0};
+    const peer_usage after{.admitted = reported.admitted, .demand = reported.demand, .assumed = 0.0, .listedAt = now};
     const auto found = state.buckets.find(reported.workspace);
     if (found == state.buckets.end()) {
         return after;
@@ -253,21 +251,25 @@
     return state;
 }
 
+void applyLimit(shared_rates &state, const workspace &limit, time_point now)
+{
+    auto [entry, added] = state.buckets.try_emplace(workspaceId(limit.name));
+    auto &bucket = entry->second;
+    bucket.rate = limit.rate;
+    bucket.burst = limit.burst;
+    if (added) {
+        bucket.level = state.options.startFraction * limit.burst;
+        bucket.updatedAt = now;
+    }
+    bucket.level = std::min(bucket.level, bucket.burst);
+}
+
 void applyLimits(shared_rates &state, const std::vector<workspace> &workspaces, time_point now)
 {
     std::unordered_set<std::uint32_t> present;
     for (const auto &item : workspaces) {
-        const auto id = workspaceId(item.name);
-        present.insert(id);
-        auto [entry, added] = state.buckets.try_emplace(id);
-        auto &bucket = entry->second;
-        bucket.rate = item.rate;
-        bucket.burst = item.burst;
-        if (added) {
-            bucket.level = state.options.startFraction * item.burst;
-            bucket.updatedAt = now;
-        }
-        bucket.level = std::min(bucket.level, bucket.burst);
+        present.insert(workspaceId(item.name));
+        applyLimit(state, item, now);
     }
     std::erase_if(state.buckets, [&present](const auto &entry) {
         return !present.contains(entry.first);
@@ -300,14 +302,19 @@
             before.assumed = known->second.assumed;
             before.admitted = added ? usage.admitted : (restarted ? 0 : known->second.admitted);
         }
-        usages.emplace(usage.workspace, internal::settle(state, usage, before));
+        usages.emplace(usage.workspace, internal::settle(state, usage, before, now));
     }
     for (const auto &[workspace, usage] : peer.usages) {
-        if (!usages.contains(workspace)) {
-            auto settled = internal::settle(state, {workspace, usage.admitted, 0.0}, usage);
-            settled.admitted = restarted ? 0 : settled.admitted;
-            usages.emplace(workspace, settled);
+        if (usages.contains(workspace)) {
+            continue;
         }
+        auto kept = usage;
+        const bool isOver{restarted || now - usage.listedAt > state.options.unlisted};
+        if (isOver) {
+            kept = internal::settle(state, {workspace, usage.admitted, 0.0}, usage, usage.listedAt);
+            kept.admitted = restarted ? 0 : kept.admitted;
+        }
+        usages.emplace(workspace, kept);
     }
     peer = {report.incarnation, report.sequence, now, false, false, std::move(usages)};
 }
@@ -333,15 +340,30 @@
             usages.push_back({workspace, bucket.admitted, bucket.demand});
         }
     }
-    if (usages.size() > internal::MostReported) {
-        std::sort(usages.begin(), usages.end(), [](const auto &left, const auto &right) {
-            return left.demand > right.demand;
-        });
-        usages.resize(internal::MostReported);
-    }
+    std::sort(usages.begin(), usages.end(), [&state](const auto &left, const auto &right) {
+        const auto leftAt = state.buckets.at(left.workspace).reportedAt;
+        const auto rightAt = state.buckets.at(right.workspace).reportedAt;
+        return std::tie(leftAt, left.workspace) < std::tie(rightAt, right.workspace);
+    });
     return usages;
 }
 
+void noteReported(shared_rates &state, const std::vector<workspace_usage> &usages, time_point now)
+{
+    for (const auto &usage : usages) {
+        if (const auto found = state.buckets.find(usage.workspace); found != state.buckets.end()) {
+            found->second.reportedAt = now;
+        }
+    }
+}
+
+std::size_t heardPeers(const shared_rates &state) noexcept
+{
+    return static_cast<std::size_t>(std::count_if(state.peers.begin(), state.peers.end(), [](const auto &entry) {
+        return !entry.second.isStale;
+    }));
+}
+
 void returnToken(shared_rates &state, std::string_view workspaceName)
 {
     const auto found = state.buckets.find(workspaceId(workspaceName));
--- a/src/ragwortpin/rates/shared_rates.h
+++ b/src/ragwortpin/rates/shared_rates.h
@@ -42,6 +42,8 @@
     duration exposure{milliseconds{2200}};
     /** Time over which demand is averaged to part the requests that peers may not know of yet; a surge must not shift the parts at once. */
     duration shareMemory{seconds{8}};
+    /** Time for which a workspace that a peer's reports leave out keeps its last figures. Reports take turns where not all fit. */
+    duration unlisted{seconds{2}};
 
     bool operator==(const shared_rate_options &) const = default;
 };
@@ -109,6 +111,8 @@
     /** Sum of these, and the most they may come to. */
     double exposedCount{0.0};
     double exposedLimit{0.0};
+    /** When peers were told of it last. */
+    time_point reportedAt{};
 
     bool operator==(const shared_bucket &) const = default;
 };
@@ -120,6 +124,8 @@
     double demand{0.0};
     /** Taken off the bucket already; given back when the peer reports what it did. */
     double assumed{0.0};
+    /** When a report had it last. */
+    time_point listedAt{};
 
     bool operator==(const peer_usage &) const = default;
 };
@@ -175,7 +181,10 @@
 /** Starts without any limits. */
 [[nodiscard]] shared_rates makeSharedRates(const shared_rate_options &options, time_point now);
 
-/** Takes over the rates of a configuration. Buckets of workspaces that stay keep their level. */
+/** Takes over the rate and burst of one workspace. A bucket that is there keeps its level. */
+void applyLimit(shared_rates &state, const workspace &limit, time_point now);
+
+/** Takes over the rates of a configuration, and forgets the buckets of workspaces that it does not have. */
 void applyLimits(shared_rates &state, const std::vector<workspace> &workspaces, time_point now);
 
 /**
@@ -190,9 +199,18 @@
 /** Closes an interval: refills, sets aside, and works out what this node may spend until the next one. */
 void tickRates(shared_rates &state, time_point now);
 
-/** What this node admitted, for its report; workspaces that were not active for some seconds are left out. */
+/**
+ * What this node admitted, for its report; workspaces that were not active for some seconds are left out. Those that peers were
+ * not told of for longest come first, so that all get their turn where a report has no room for all.
+ */
 [[nodiscard]] std::vector<workspace_usage> ownUsages(const shared_rates &state);
 
+/** Notes which workspaces a report told of. */
+void noteReported(shared_rates &state, const std::vector<workspace_usage> &usages, time_point now);
+
+/** Peers that were heard from and are not silent, for logs. */
+[[nodiscard]] std::size_t heardPeers(const shared_rates &state) noexcept;
+
 /** Gives the token of an admitted request back that was refused for another reason. */
 void returnToken(shared_rates &state, std::string_view workspaceName);
 
--- a/tests/digest/digest_test.cpp
+++ b/tests/digest/digest_test.cpp
@@ -162,6 +162,44 @@
     CHECK(received == digests);
 }
 
+TEST_CASE("a digest of a busy node fits a datagram and keeps what matters most")
+{
+    struct size_case
+    {
+        std::string name;
+        std::size_t profiles;
+        std::size_t demands;
+        std::size_t usages;
+        std::size_t leastUsages;
+    };
+    const std::vector<size_case> cases{
+        {"small", 2, 4, 8, 8},
+        {"many workspaces", 3, 12, 90, 24},
+        {"everything at its most", 12, 24, 120, 24},
+    };
+    constexpr std::uint64_t Large{1ULL << 40U};
+    for (const auto &entry : cases) {
+        CAPTURE(entry.name);
+        auto digest = sampleDigest("instance-with-a-rather-long-name-17");
+        const route_profile profile{
+            .route = 0xfffffff0U, .runs = 12345.678, .slotTime = 1.5, .calls = {{0xfffffff1U, 4.0}, {0xfffffff2U, 1.0}}};
+        digest.profiles.assign(entry.profiles, profile);
+        digest.demands.assign(entry.demands, {0xfffffff0U, 200, 123.456});
+        digest.usage.usages.clear();
+        for (std::uint32_t index{0}; index < entry.usages; ++index) {
+            digest.usage.usages.push_back({0xffff0000U + index, Large, 12.345});
+        }
+        auto fitted = digest;
+        fitDatagram(fitted);
+        std::size_t position{0};
+        CHECK(encodeDigests({&fitted}, position).size() <= MaxDatagramPayloadBytes);
+        CHECK(fitted.usage.usages.size() >= entry.leastUsages);
+        CHECK_FALSE(fitted.profiles.empty());
+        CHECK(std::equal(fitted.usage.usages.begin(), fitted.usage.usages.end(), digest.usage.usages.begin()));
+        CHECK(fitted.usage.instance == digest.usage.instance);
+    }
+}
+
 TEST_CASE("digests of any bytes are read or refused, and never end the process")
 {
     const auto digest = sampleDigest("a");
--- a/tests/rates/shared_rates_test.cpp
+++ b/tests/rates/shared_rates_test.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cmath>
 #include <deque>
+#include <map>
 #include <random>
 #include <string>
 #include <utility>
@@ -332,3 +333,49 @@
     CHECK(levelAfter({"peer", 2, 1, {{id, 2, 1.0}}}, start) == begin - 7.0);
     CHECK(takeToken(rates, "unlimited", start).admitted);
 }
+
+TEST_CASE("all active workspaces get their turn in reports that have no room for all")
+{
+    constexpr std::size_t Workspaces{80};
+    constexpr std::size_t Room{30};
+    time_point now{seconds{100}};
+    std::vector<workspace> limits;
+    for (std::size_t index{0}; index < Workspaces; ++index) {
+        limits.push_back({.name = "w" + std::to_string(index), .rate = 100.0, .burst = 100.0});
+    }
+    auto sender = makeSharedRates({}, now);
+    auto receiver = makeSharedRates({}, now);
+    applyLimits(sender, limits, now);
+    applyLimits(receiver, limits, now);
+    std::uint64_t sequence{0};
+    std::map<std::uint32_t, std::uint64_t> told;
+    for (int round{0}; round < 12; ++round) {
+        now += Round;
+        for (const auto &limit : limits) {
+            static_cast<void>(takeToken(sender, limit.name, now));
+        }
+        tickRates(sender, now);
+        tickRates(receiver, now);
+        auto usages = ownUsages(sender);
+        usages.resize(std::min(usages.size(), Room));
+        noteReported(sender, usages, now);
+        noteReport(receiver, {"sender", 1, ++sequence, usages}, now);
+        for (const auto &usage : usages) {
+            told[usage.workspace] = usage.admitted;
+        }
+    }
+    CHECK(told.size() == Workspaces);
+    for (const auto &[workspace, admitted] : told) {
+        CHECK(sender.buckets.at(workspace).admitted - admitted <= Workspaces / Room);
+        CHECK(receiver.peers.at("sender").usages.at(workspace).demand > 0.0);
+    }
+
+    for (int round{0}; round < 12; ++round) {
+        now += Round;
+        tickRates(receiver, now);
+        noteReport(receiver, {"sender", 1, ++sequence, {}}, now);
+    }
+    for (const auto &[workspace, usage] : receiver.peers.at("sender").usages) {
+        CHECK(usage.demand == 0.0);
+    }
+}
