--- a/src/bench/rights/virtual_fleet.cpp
+++ b/src/bench/rights/virtual_fleet.cpp
@@ -1,6 +1,8 @@
 #include "bench/rights/virtual_fleet.h"
 
 #include "bench/rights/conservation.h"
+#include "bench/rights/internal/virtual_network.h"
+#include "bench/rights/internal/virtual_requests.h"
 
 #include <algorithm>
 #include <cmath>
@@ -10,53 +12,12 @@
 
 namespace {
 
-constexpr duration RetryPoll{milliseconds{5}};
-constexpr duration StoreTimeout{milliseconds{500}};
-
-[[nodiscard]] double chance(virtual_fleet &fleet)
-{
-    return std::uniform_real_distribution<double>{0.0, 1.0}(fleet.random);
-}
-
-[[nodiscard]] duration upTo(virtual_fleet &fleet, duration span)
-{
-    return duration{std::uniform_int_distribution<duration::rep>{0, std::max<duration::rep>(span.count(), 0)}(fleet.random)};
-}
-
-[[nodiscard]] bool canReach(const virtual_fleet &fleet, std::size_t from, std::size_t to)
-{
-    if (fleet.cutNodes.contains(from) || fleet.cutNodes.contains(to)) {
-        return false;
-    }
-    const auto &zoneFrom = fleet.nodes[from].zone;
-    const auto &zoneTo = fleet.nodes[to].zone;
-    return zoneFrom == zoneTo || (!fleet.cutZones.contains(zoneFrom) && !fleet.cutZones.contains(zoneTo));
-}
-
-[[nodiscard]] bool canReachStore(const virtual_fleet &fleet, std::size_t node)
-{
-    return !fleet.store.outage && !fleet.cutNodes.contains(node) && !fleet.cutZones.contains(fleet.nodes[node].zone);
-}
-
-void flush(virtual_fleet &fleet, std::size_t index);
-void retryWaiting(virtual_fleet &fleet, std::size_t index);
-
-/** Runs something in a process, or when it resumes; nothing if the process has ended. */
-void inProcess(virtual_fleet &fleet, std::size_t index, std::uint64_t lifetime, std::function<void(rights_state &, time_point)> run)
-{
-    auto &node = fleet.nodes[index];
-    if (!node.alive || node.lifetime != lifetime) {
-        return;
-    }
-    if (node.paused) {
-        node.whilePaused.emplace_back([&fleet, index, lifetime, run = std::move(run)] {
-            inProcess(fleet, index, lifetime, run);
-        });
-        return;
-    }
-    run(*node.rights, localTime(fleet, node));
-    flush(fleet, index);
-}
+using internal::canReach;
+using internal::chance;
+using internal::flush;
+using internal::inProcess;
+using internal::retryWaiting;
+using internal::upTo;
 
 [[nodiscard]] std::shared_ptr<const membership_view> currentMembers(const virtual_fleet &fleet, std::size_t viewer)
 {
@@ -77,137 +38,6 @@
     return view;
 }
 
-void deliver(virtual_fleet &fleet, std::size_t from, std::size_t to, const std::string &bytes)
-{
-    if (!canReach(fleet, from, to) || chance(fleet) < fleet.loss) {
-        return;
-    }
-    const auto near = fleet.nodes[from].zone == fleet.nodes[to].zone;
-    const auto base = near ? fleet.options.delayInZone : fleet.options.delayBetweenZones;
-    const auto delay = base + upTo(fleet, base / 2) + upTo(fleet, fleet.jitter);
-    schedule(fleet, fleet.now + delay, [&fleet, to, bytes] {
-        // The process that listens on arrival gets the message, whichever it is.
-        inProcess(fleet, to, fleet.nodes[to].lifetime, [&fleet, to, bytes](rights_state &state, time_point now) {
-            std::error_code error;
-            const auto message = decodeRightsMessage(bytes, error);
-            if (!error) {
-                onMessage(state, message, now);
-                retryWaiting(fleet, to);
-            }
-        });
-    });
-}
-
-void sendMessage(virtual_fleet &fleet, std::size_t from, const rights_envelope &envelope)
-{
-    const auto bytes = encodeRightsMessage(envelope.message);
-    auto &sender = fleet.nodes[from];
-    ++sender.messagesSent;
-    sender.bytesSent += bytes.size();
-    const auto found = fleet.indices.find(envelope.to);
-    if (found == fleet.indices.end()) {
-        return;
-    }
-    const auto to = found->second;
-    deliver(fleet, from, to, bytes);
-    if (chance(fleet) < fleet.duplication) {
-        deliver(fleet, from, to, bytes);
-    }
-}
-
-[[nodiscard]] store_reply applyRange(const virtual_store &store, const store_range &range)
-{
-    store_reply reply;
-    reply.succeeded = true;
-    reply.revision = store.revision;
-    const auto end = range.rangeEnd.empty() ? store.entries.upper_bound(range.key) : store.entries.lower_bound(range.rangeEnd);
-    for (auto entry = store.entries.lower_bound(range.key); entry != end; ++entry) {
-        reply.entries.push_back(entry->second);
-    }
-    return reply;
-}
-
-[[nodiscard]] std::int64_t modRevisionOf(const virtual_store &store, const std::string &key)
-{
-    const auto found = store.entries.find(key);
-    return found == store.entries.end() ? 0 : found->second.modRevision;
-}
-
-[[nodiscard]] store_reply applyTransaction(virtual_store &store, const store_transaction &transaction)
-{
-    store_reply reply;
-    reply.succeeded = std::all_of(transaction.compares.begin(), transaction.compares.end(), [&store](const store_compare &compare) {
-        return modRevisionOf(store, compare.key) == compare.modRevision;
-    });
-    if (reply.succeeded) {
-        ++store.revision;
-        ++store.writes;
-        for (const auto &item : transaction.writes) {
-            if (item.value) {
-                store.entries[item.key] = {item.key, *item.value, store.revision};
-            } else {
-                store.entries.erase(item.key);
-            }
-        }
-    } else {
-        for (const auto &key : transaction.readOnFailure) {
-            const auto found = store.entries.find(key);
-            if (found != store.entries.end()) {
-                reply.entries.push_back(found->second);
-            }
-        }
-    }
-    reply.revision = store.revision;
-    return reply;
-}
-
-[[nodiscard]] store_reply apply(virtual_store &store, const store_request &request)
-{
-    ++store.calls;
-    if (const auto *range = std::get_if<store_range>(&request)) {
-        return applyRange(store, *range);
-    }
-    return applyTransaction(store, std::get<store_transaction>(request));
-}
-
-void answerStoreCall(
-    virtual_fleet &fleet, std::size_t index, std::uint64_t lifetime, std::uint64_t token, const store_reply &reply, duration delay)
-{
-    schedule(fleet, fleet.now + delay, [&fleet, index, lifetime, token, reply] {
-        inProcess(fleet, index, lifetime, [token, reply](rights_state &state, time_point now) {
-            onStoreReply(state, token, reply, now);
-        });
-    });
-}
-
-void callStore(virtual_fleet &fleet, std::size_t index, const rights_store_call &call)
-{
-    const auto lifetime = fleet.nodes[index].lifetime;
-    store_reply failure;
-    failure.error = std::make_error_code(std::errc::timed_out);
-    const auto delay = fleet.options.storeDelay + upTo(fleet, fleet.options.storeDelay) + upTo(fleet, fleet.jitter);
-    const auto lost = chance(fleet) < fleet.store.lostAnswers;
-    schedule(fleet, fleet.now + delay / 2, [&fleet, index, lifetime, call, failure, delay, lost] {
-        if (!canReachStore(fleet, index)) {
-            answerStoreCall(fleet, index, lifetime, call.token, failure, StoreTimeout);
-            return;
-        }
-        const auto reply = apply(fleet.store, call.request);
-        answerStoreCall(fleet, index, lifetime, call.token, lost ? failure : reply, lost ? StoreTimeout : delay / 2);
-    });
-}
-
-void flush(virtual_fleet &fleet, std::size_t index)
-{
-    const auto output = takeOutput(*fleet.nodes[index].rights);
-    for (const auto &envelope : output.messages) {
-        sendMessage(fleet, index, envelope);
-    }
-    for (const auto &call : output.storeCalls) {
-        callStore(fleet, index, call);
-    }
-}
-
 void scheduleTick(virtual_fleet &fleet, std::size_t index, std::uint64_t lifetime)
 {
     schedule(fleet, fleet.now + fleet.options.tick, [&fleet, index, lifetime] {
@@ -313,73 +143,6 @@
     scheduleTick(fleet, index, node.lifetime);
 }
 
-void admitRequest(virtual_fleet &fleet, const std::string &workspace)
-{
-    auto &audit = fleet.audits.at(workspace);
-    audit.level = std::min(audit.burst, audit.level + toSeconds(fleet.now - audit.updatedAt) * audit.rate) - 1.0;
-    audit.updatedAt = fleet.now;
-    audit.lowest = std::min(audit.lowest, audit.level);
-    ++audit.admitted;
-}
-
-void countRefusal(virtual_fleet &fleet, const waiting_request &request)
-{
-    auto &audit = fleet.audits.at(request.workspace);
-    ++audit.refused;
-    audit.wronglyRefused += request.withinRate ? 1 : 0;
-}
-
-/** Asks for a request's token. Returns whether the request is settled. */
-[[nodiscard]] bool tryRequest(virtual_fleet &fleet, std::size_t index, const waiting_request &request)
-{
-    auto &node = fleet.nodes[index];
-    const auto decision = takeToken(*node.rights, request.workspace, request.arrivedAt, localTime(fleet, node));
-    flush(fleet, index);
-    if (decision.verdict == token_verdict::Admitted) {
-        admitRequest(fleet, request.workspace);
-    } else if (decision.verdict == token_verdict::Refused) {
-        countRefusal(fleet, request);
-    }
-    return decision.verdict != token_verdict::Wait;
-}
-
-void retryWaiting(virtual_fleet &fleet, std::size_t index)
-{
-    auto queue = std::exchange(fleet.waiting[index], {});
-    for (auto &request : queue) {
-        if (!tryRequest(fleet, index, request)) {
-            fleet.waiting[index].push_back(std::move(request));
-        }
-    }
-}
-
-void scheduleRetry(virtual_fleet &fleet, std::size_t index, std::uint64_t lifetime)
-{
-    schedule(fleet, fleet.now + RetryPoll, [&fleet, index, lifetime] {
-        const auto &node = fleet.nodes[index];
-        if (!node.alive || node.paused || node.lifetime != lifetime || fleet.waiting[index].empty()) {
-            return;
-        }
-        retryWaiting(fleet, index);
-        if (!fleet.waiting[index].empty()) {
-            scheduleRetry(fleet, index, lifetime);
-        }
-    });
-}
-
-/** Whether the workspace's offered load, this request included, is inside its rate and burst. */
-[[nodiscard]] bool takeOffered(virtual_fleet &fleet, usage_audit &audit)
-{
-    audit.offeredLevel = std::min(audit.burst, audit.offeredLevel + toSeconds(fleet.now - audit.offeredAt) * audit.rate);
-    audit.offeredAt = fleet.now;
-    if (audit.offeredLevel < 1.0) {
-        return false;
-    }
-    audit.offeredLevel -= 1.0;
-    ++audit.withinRate;
-    return true;
-}
-
 } // namespace
 
 time_point localTime(const virtual_fleet &fleet, const virtual_node &node)
@@ -474,34 +237,6 @@
     fleet.startingView.reset();
 }
 
-void offerRequest(virtual_fleet &fleet, std::size_t index, const std::string &workspace)
-{
-    const auto &node = fleet.nodes[index];
-    if (!node.alive || node.paused || node.leaving) {
-        return;
-    }
-    const waiting_request request{workspace, localTime(fleet, node), takeOffered(fleet, fleet.audits.at(workspace))};
-    if (tryRequest(fleet, index, request)) {
-        return;
-    }
-    fleet.waiting[index].push_back(request);
-    if (fleet.waiting[index].size() == 1) {
-        scheduleRetry(fleet, index, node.lifetime);
-    }
-}
-
-void offerLoad(virtual_fleet &fleet, const std::string &workspace, double rate, std::function<std::size_t()> chooseNode, time_point until)
-{
-    const auto next = fleet.now + fromSeconds(std::exponential_distribution<double>{rate}(fleet.random));
-    if (next > until) {
-        return;
-    }
-    schedule(fleet, next, [&fleet, workspace, rate, chooseNode = std::move(chooseNode), until] {
-        offerRequest(fleet, chooseNode(), workspace);
-        offerLoad(fleet, workspace, rate, chooseNode, until);
-    });
-}
-
 void killNode(virtual_fleet &fleet, std::size_t index)
 {
     auto &node = fleet.nodes[index];
