Measure the delay of the event loop and the age of forwarded calls

Nothing in logs or metrics told whether a call waits in a connection because the node has no processor time left: queues and slots of the target show requests only once they were read.

A byte that the data loop sends to itself waits behind the connections that are ready. Its delay is a metric; the log tells when it passes 50 ms and when it is below 10 ms again.

No decision uses either value.

--- a/src/ragwortpin/identity/context.cpp
+++ b/src/ragwortpin/identity/context.cpp
@@ -139,7 +139,7 @@
     if (age > ContextValidityWindow || age < -ContextValidityWindow) {
         return {identity_errc::Expired, {}};
     }
-    return {{}, toContext(fields)};
+    return {{}, toContext(fields), age};
 }
 
 } // namespace ragwortpin
--- a/src/ragwortpin/identity/context.h
+++ b/src/ragwortpin/identity/context.h
@@ -62,11 +62,13 @@
     bool operator==(const signing_keys &) const = default;
 };
 
-/** Result of verifying a signed context: the context, or an error and an empty context. */
+/** Result of verifying a signed context: the context and its age, or an error and an empty context. */
 struct context_verification
 {
     std::error_code error;
     request_context context;
+    /** Time since the context was signed. Includes the difference between the wall clocks of the two instances; may be negative. */
+    microseconds age{0};
 
     bool operator==(const context_verification &) const = default;
 };
--- a/src/ragwortpin/node/data_plane.cpp
+++ b/src/ragwortpin/node/data_plane.cpp
@@ -17,6 +17,11 @@
 constexpr std::size_t StoreMailboxCapacity{256};
 constexpr milliseconds QueueCheckInterval{20};
 constexpr milliseconds StateUpdateInterval{100};
+constexpr milliseconds LoopProbeInterval{50};
+constexpr milliseconds LoopCheckInterval{250};
+/** Delays of the event loop at which it is logged as delayed, and as no longer delayed. */
+constexpr milliseconds LoopDelayedThreshold{50};
+constexpr milliseconds LoopRecoveredThreshold{10};
 /** Short because the target runs on the same machine. */
 constexpr milliseconds TargetConnectTimeout{1000};
 /** Some hundred times the network latency between availability zones. A peer that takes longer is partitioned or overloaded. */
@@ -107,6 +112,8 @@
     , m_configuration{configuration}
     , m_services{std::move(services)}
     , m_timer{m_context}
+    , m_loopProbe{m_context}
+    , m_loopDelay{metrics.distributionFor("ragwortpin_event_loop_delay_seconds")}
     , m_client{m_context, settings.limits}
     , m_directory{settings.availabilityZone}
     , m_target{m_context, m_client, metrics, m_services.spans, toTargetOptions(settings)}
@@ -159,6 +166,7 @@
                 [this](inbound_call call) {
                     return runLocally(std::move(call));
                 },
+                settings.headers.requestId,
                 metrics}
     , m_callerServer{m_context,
                      settings.limits,
@@ -366,6 +374,12 @@
         m_once.wakePendingCalls();
         advanceShutdown(at);
     });
+    m_timers.subscribe(now, LoopProbeInterval, [this](time_point at) {
+        m_loopProbe.send(at);
+    });
+    m_timers.subscribe(now, LoopCheckInterval, [this](time_point at) {
+        observeLoopDelay(m_loopProbe.takeDelay(at));
+    });
     m_timers.subscribe(now, CleanupInterval, [this](time_point at) {
         m_dispatcher.removeExpiredShedLevels(at);
         m_client.closeExpired();
@@ -383,6 +397,23 @@
     });
 }
 
+/** Records the delay of the event loop, and logs when connections begin or cease to wait for the processor. */
+void data_plane::observeLoopDelay(duration delay)
+{
+    m_loopDelay.record(delay);
+    const bool isDelayed{delay >= (m_isLoopDelayed ? LoopRecoveredThreshold : LoopDelayedThreshold)};
+    if (isDelayed == m_isLoopDelayed) {
+        return;
+    }
+    m_isLoopDelayed = isDelayed;
+    logEvent(isDelayed ? log_level::Warning : log_level::Info,
+             isDelayed ? "event_loop_delayed" : "event_loop_recovered",
+             {{"delay_ms", std::to_string(std::chrono::duration_cast<milliseconds>(delay).count())},
+              {"connections", std::to_string(m_callerServer.connections() + m_egressServer.connections() + m_peerServer.connections())},
+              {"requests", std::to_string(requestsInFlight())},
+              {"at_target", std::to_string(m_target.requests())}});
+}
+
 void data_plane::updateOwnRecord()
 {
     const auto &announced = m_target.announced();
--- a/src/ragwortpin/node/data_plane.h
+++ b/src/ragwortpin/node/data_plane.h
@@ -13,6 +13,7 @@
 #include "ragwortpin/peers/control_rpc_jsonrpc.h"
 #include "ragwortpin/peers/datagram.h"
 #include "ragwortpin/peers/forward_gateway.h"
+#include "ragwortpin/runtime/loop_probe.h"
 #include "ragwortpin/runtime/mailbox.h"
 #include "ragwortpin/runtime/timer_service.h"
 #include "ragwortpin/targets/egress_gateway.h"
@@ -100,6 +101,7 @@
     [[nodiscard]] std::string ownService() const;
     void subscribeTimers();
     void armTimer();
+    void observeLoopDelay(duration delay);
     void updateOwnRecord();
     void startShutdown();
     [[nodiscard]] bool isAnnouncePeriodOver(time_point now) const;
@@ -115,6 +117,9 @@
     boost::asio::io_context m_context{1};
     boost::asio::steady_timer m_timer;
     timer_service m_timers;
+    loop_probe m_loopProbe;
+    distribution &m_loopDelay;
+    bool m_isLoopDelayed{false};
     http_client_pool m_client;
     instance_directory m_directory;
     target_gateway m_target;
--- a/src/ragwortpin/peers/forward_gateway.h
+++ b/src/ragwortpin/peers/forward_gateway.h
@@ -21,16 +21,20 @@
 class forward_gateway
 {
 public:
-    forward_gateway(dispatcher_identity self, local_runner runLocally, metrics_registry &metrics);
+    forward_gateway(dispatcher_identity self, local_runner runLocally, std::string requestIdField, metrics_registry &metrics);
 
     /** Serves one forwarded call. */
     [[nodiscard]] boost::asio::awaitable<http_response> serve(http_request request, std::shared_ptr<call_control> control);
 
 private:
+    void observeAge(const http_request &request, const context_verification &verified);
+
     dispatcher_identity m_self;
     local_runner m_runLocally;
+    std::string m_requestIdField;
     counter &m_calls;
     counter &m_invalid;
+    distribution &m_age;
 };
 
 } // namespace ragwortpin
--- a/src/ragwortpin/runtime/fwd.h
+++ b/src/ragwortpin/runtime/fwd.h
@@ -6,6 +6,7 @@
 template<typename Value>
 class bounded_ring;
 class timer_service;
+class loop_probe;
 class metrics_registry;
 
 } // namespace ragwortpin
