Discard requests whose sender disconnected before they were read

The bytes of a request and the end of its connection wait in the same socket while the node has no processor time. The node read the request, passed it on in the same turn, and saw the end of the connection only with its next read. Class: work that nobody waits for any more is started since the news of its cancellation is queued behind it.

Now the state of the connection is checked, with one system call, between reading a request and handling it. That covers all listeners and hops, pipelined requests and resets, and compares no clocks. Discarded requests are counted by listener and logged with their id.

Ruled out: leaving it to the deadline, which is counted from reading the request and so does not contain the wait.

--- a/src/ragwortpin/http/server.cpp
+++ b/src/ragwortpin/http/server.cpp
@@ -1,5 +1,6 @@
 #include "ragwortpin/http/server.h"
 
+#include "ragwortpin/http/socket.h"
 #include "ragwortpin/runtime/async_signal.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -144,6 +145,11 @@
             handleReadError(error);
             co_return false;
         }
+        if (isClosedByPeer(m_socket)) {
+            m_server.m_abandonObserver(parser.get());
+            cancelPending();
+            co_return false;
+        }
         auto item = std::make_shared<pending_request>();
         item->version = parser.get().version();
         item->keepAlive = parser.get().keep_alive();
@@ -313,11 +319,13 @@
     bool m_disconnected{false};
 };
 
-http_server::http_server(asio::io_context &context, http_limits limits, http_handler handler, refusal_observer observer)
+http_server::http_server(
+    asio::io_context &context, http_limits limits, http_handler handler, refusal_observer observer, abandon_observer abandonObserver)
     : m_context{context}
     , m_limits{limits}
     , m_handler{std::move(handler)}
     , m_observer{std::move(observer)}
+    , m_abandonObserver{std::move(abandonObserver)}
     , m_acceptor{context}
     , m_stallTimer{context}
 { }
--- a/src/ragwortpin/http/server.h
+++ b/src/ragwortpin/http/server.h
@@ -23,15 +23,24 @@
 /** Called with the refusal kind of each request that is refused before it reaches the handler. */
 using refusal_observer = std::function<void(refusal_kind)>;
 
+/** Called with each request that is not handled because its client disconnected before the request was read. */
+using abandon_observer = std::function<void(const http_request &)>;
+
 /**
  * HTTP/1.1 listener with keep-alive and pipelining, running on one io_context. Each request is read completely, within the limits,
  * before its handler runs. Requests of one connection are handled concurrently and answered in order of arrival. A malformed
- * request or one above a limit is answered with a refusal, and its connection is closed.
+ * request or one above a limit is answered with a refusal, and its connection is closed. A request whose client has already
+ * disconnected is discarded.
  */
 class http_server
 {
 public:
-    http_server(boost::asio::io_context &context, http_limits limits, http_handler handler, refusal_observer observer);
+    http_server(
+        boost::asio::io_context &context,
+        http_limits limits,
+        http_handler handler,
+        refusal_observer observer,
+        abandon_observer abandonObserver = [](const http_request &) {});
 
     /** Binds, listens and starts accepting connections. Returns an error if the address is invalid or cannot be bound. */
     [[nodiscard]] boost::system::error_code listen(const endpoint &local);
@@ -68,6 +77,7 @@
     http_limits m_limits;
     http_handler m_handler;
     refusal_observer m_observer;
+    abandon_observer m_abandonObserver;
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_stallTimer;
     std::unordered_set<session *> m_sessions;
--- a/src/ragwortpin/node/data_plane.cpp
+++ b/src/ragwortpin/node/data_plane.cpp
@@ -175,7 +175,8 @@
                      },
                      [this](refusal_kind kind) {
                          m_callers.observeRefusal(kind);
-                     }}
+                     },
+                     observeAbandoned("callers", metrics)}
     , m_egressServer{m_context,
                      settings.limits,
                      [this](http_request request, std::shared_ptr<call_control> control) {
@@ -183,19 +184,33 @@
                      },
                      [this](refusal_kind kind) {
                          m_callers.observeRefusal(kind);
-                     }}
+                     },
+                     observeAbandoned("egress", metrics)}
     , m_peerServer{m_context,
                    settings.limits,
                    [this](http_request request, std::shared_ptr<call_control> control) {
                        return servePeer(std::move(request), std::move(control));
                    },
-                   [](refusal_kind) {}}
+                   [](refusal_kind) {},
+                   observeAbandoned("peers", metrics)}
 {
     metrics.gauge("ragwortpin_mailbox_rejected", [this] {
         return static_cast<double>(fromControl.rejected() + fromOperators.rejected() + fromStore.rejected() + fromClaims.rejected());
     });
 }
 
+/** Returns an observer that counts and logs the requests of a listener whose clients disconnected before they were read. */
+abandon_observer data_plane::observeAbandoned(std::string listener, metrics_registry &metrics) const
+{
+    auto &abandoned = metrics.counterFor("ragwortpin_requests_abandoned_total{listener=\"" + listener + "\"}");
+    return [this, listener = std::move(listener), &abandoned](const http_request &request) {
+        abandoned.add();
+        logDecision(log_weight::Ordinary,
+                    "request_abandoned",
+                    {{"id", std::string{request[m_settings.headers.requestId]}}, {"listener", listener}, {"outcome", "not_run"}});
+    };
+}
+
 std::string data_plane::listen()
 {
     struct listener
--- a/src/ragwortpin/node/data_plane.h
+++ b/src/ragwortpin/node/data_plane.h
@@ -91,6 +91,7 @@
 private:
     void handle(control_event event);
     void handle(operator_event event);
+    [[nodiscard]] abandon_observer observeAbandoned(std::string listener, metrics_registry &metrics) const;
     [[nodiscard]] repeat_budget makeFleetRepeatBudget();
     void receiveLoan(const loan_event &loan);
     [[nodiscard]] boost::asio::awaitable<rate_limit_result> takeToken(std::string workspace, std::shared_ptr<call_control> control);
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -2,6 +2,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <string>
 #include <vector>
 
@@ -178,3 +182,75 @@
     CHECK(served[0]->cancelled());
     CHECK(served[1]->cancelled());
 }
+
+namespace {
+
+/** Bytes that a client sends before it disconnects, and how. */
+struct disconnect_case
+{
+    std::string name;
+    std::string bytes;
+    bool isReset;
+};
+
+/** Waits until the peer's kernel has acknowledged the end of the sent bytes. */
+void waitUntilEndIsAcknowledged(boost::asio::ip::tcp::socket &socket)
+{
+    tcp_info info{};
+    do {
+        socklen_t size{sizeof(info)};
+        REQUIRE(::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0);
+    } while (info.tcpi_state != TCP_FIN_WAIT2);
+}
+
+/** Connects, sends the bytes and disconnects before the server's event loop runs. */
+void sendAndDisconnect(std::uint16_t port, const disconnect_case &entry)
+{
+    boost::asio::io_context clientContext;
+    boost::asio::ip::tcp::socket socket{clientContext};
+    socket.connect({boost::asio::ip::make_address("127.0.0.1"), port});
+    boost::asio::write(socket, boost::asio::buffer(entry.bytes));
+    if (entry.isReset) {
+        socket.set_option(boost::asio::socket_base::linger{true, 0});
+    } else {
+        socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send);
+        waitUntilEndIsAcknowledged(socket);
+    }
+    socket.close();
+}
+
+} // namespace
+
+TEST_CASE("a request whose client disconnected before it was read is not run")
+{
+    const std::string request{"GET / HTTP/1.1\r\nHost: a\r\n\r\n"};
+    const std::vector<disconnect_case> cases{
+        {"one request", request, false},
+        {"pipelined requests", request + request + request, false},
+        {"request with a body", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi", false},
+        {"reset connection", request, true},
+    };
+    for (const auto &entry : cases) {
+        CAPTURE(entry.name);
+        boost::asio::io_context context{1};
+        std::size_t handled{0};
+        std::size_t abandoned{0};
+        http_server server{context,
+                           {},
+                           [&handled](http_request, std::shared_ptr<call_control>) -> boost::asio::awaitable<http_response> {
+                               ++handled;
+                               co_return makeResponse(http::status::ok, "text/plain", "fine");
+                           },
+                           [](refusal_kind) {},
+                           [&abandoned](const http_request &) {
+                               ++abandoned;
+                           }};
+        REQUIRE_FALSE(server.listen({"127.0.0.1", 0}));
+        sendAndDisconnect(server.port(), entry);
+        while (context.poll() > 0) { }
+        CHECK(handled == 0);
+        CHECK(abandoned == 1);
+        CHECK(server.connections() == 0);
+        CHECK(server.requestsInFlight() == 0);
+    }
+}
