Accept all waiting connections in one pass of the event loop

A listener accepted one connection in each pass of the event loop. A busy node has a hundred handlers and more ready in a pass, so that connections which the kernel had established waited in the accept queue for seconds. Their senders gave up in the meantime, closed, and came back on a new connection behind the others: the queue held mostly calls that nobody waited for.

After each accepted connection, those that wait are accepted as well, at most 64 in a row.

--- a/src/ragwortpin/http/server.cpp
+++ b/src/ragwortpin/http/server.cpp
@@ -37,6 +37,9 @@
 
 constexpr std::size_t DiscardBufferSize{512};
 
+/** Maximum number of waiting connections that are accepted before the event loop runs other handlers. */
+constexpr std::size_t MaxAcceptBatch{64};
+
 /** Delay after a failed accept, for example when the process has run out of file descriptors. */
 constexpr milliseconds AcceptRetryInterval{10};
 
@@ -348,6 +351,9 @@
     if (!error) {
         m_acceptor.listen(asio::socket_base::max_listen_connections, error);
     }
+    if (!error) {
+        m_acceptor.non_blocking(true, error);
+    }
     if (!error) {
         asio::co_spawn(m_context, acceptConnections(), asio::detached);
         checkStalled();
@@ -401,18 +407,42 @@
             co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
             continue;
         }
-        if (m_sessions.size() >= m_limits.connections) {
-            continue;
+        startSession(std::move(socket));
+        acceptWaiting();
+    }
+}
+
+/**
+ * Accepts the connections that are already waiting, without blocking. With one connection for each pass of the event loop, connections
+ * would wait longer than their clients do while many handlers are ready.
+ */
+void http_server::acceptWaiting()
+{
+    for (std::size_t accepted{1}; accepted < MaxAcceptBatch; ++accepted) {
+        boost::system::error_code error;
+        auto socket = m_acceptor.accept(error);
+        if (error) {
+            return;
         }
-        socket.set_option(tcp::no_delay{true}, error);
-        auto opened = std::make_shared<session>(*this, std::move(socket));
-        asio::co_spawn(
-            m_context,
-            [opened]() -> asio::awaitable<void> {
-                co_await opened->run();
-            },
-            asio::detached);
+        startSession(std::move(socket));
+    }
+}
+
+/** Serves a connection, or closes it if the maximum number of connections is open. */
+void http_server::startSession(tcp::socket socket)
+{
+    if (m_sessions.size() >= m_limits.connections) {
+        return;
     }
+    boost::system::error_code ignored;
+    socket.set_option(tcp::no_delay{true}, ignored);
+    auto opened = std::make_shared<session>(*this, std::move(socket));
+    asio::co_spawn(
+        m_context,
+        [opened]() -> asio::awaitable<void> {
+            co_await opened->run();
+        },
+        asio::detached);
 }
 
 } // namespace ragwortpin
--- a/src/ragwortpin/http/server.h
+++ b/src/ragwortpin/http/server.h
@@ -71,6 +71,8 @@
     class session;
 
     boost::asio::awaitable<void> acceptConnections();
+    void acceptWaiting();
+    void startSession(boost::asio::ip::tcp::socket socket);
     void checkStalled();
 
     boost::asio::io_context &m_context;
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -254,3 +254,36 @@
         CHECK(server.requestsInFlight() == 0);
     }
 }
+
+TEST_CASE("connections do not wait in the accept queue while the event loop is busy with others")
+{
+    constexpr std::size_t WaitingConnections{50};
+    constexpr std::size_t BusyTasks{100};
+    boost::asio::io_context context{1};
+    http_server server{context,
+                       {},
+                       [](http_request, std::shared_ptr<call_control>) -> boost::asio::awaitable<http_response> {
+                           co_return makeResponse(http::status::ok, "text/plain", "fine");
+                       },
+                       [](refusal_kind) {}};
+    REQUIRE_FALSE(server.listen({"127.0.0.1", 0}));
+    boost::asio::io_context clientContext;
+    std::vector<boost::asio::ip::tcp::socket> clients;
+    for (std::size_t client{0}; client < WaitingConnections; ++client) {
+        clients.emplace_back(clientContext).connect({boost::asio::ip::make_address("127.0.0.1"), server.port()});
+    }
+    std::size_t executed{0};
+    std::function<void()> busyTask = [&] {
+        ++executed;
+        boost::asio::post(context, busyTask);
+    };
+    for (std::size_t task{0}; task < BusyTasks; ++task) {
+        boost::asio::post(context, busyTask);
+    }
+    constexpr std::size_t MaxLoopPasses{10};
+    while (server.connections() < WaitingConnections && executed < MaxLoopPasses * BusyTasks) {
+        context.run_one();
+    }
+    CHECK(server.connections() == WaitingConnections);
+    context.stop();
+}
