Keep refusals that concurrency does not cause from closing a target down

Cause: the targets of dispatch refuse 55 % of their requests from 13 to 21.5 s, whatever their load. Each window of 100 ms with refusals cut the concurrency limit by 15 %, with no check that the cut helps: last_hop lines show 184, 42, 8, 2, 1 within four seconds at all four nodes. At one request at a time a window lasts 30 service times, so that the way back took 10 to 15 s more; one node stayed at 1 until it was restarted at 30 s. First hops plan with these limits, and refused 98 % of what needs the service. It happened with adaptive_limit: false too, where the settings promise the announced slots. Class: a controller whose own output takes away the samples that would correct it.

Now a limit that does not adapt is the bound. An adaptive one checks the effect of a cut because of refusals, after the window in which the requests before the cut end, and undoes it if refusals stay; it evaluates windows with fewer samples when it is low; refused requests no longer count as short service times.

The new test failed before: limit 1 of 184 in the four cases of refusals at any concurrency, 42 and then 142 in the one with 60 slots. It passes now.

--- a/src/ragwortpin/admission/concurrency_limit.cpp
+++ b/src/ragwortpin/admission/concurrency_limit.cpp
@@ -1,6 +1,7 @@
 #include "ragwortpin/admission/concurrency_limit.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace ragwortpin {
 
@@ -47,6 +48,9 @@
     state.slowStart = !contended && state.limit < state.bound;
 }
 
+/** Weight of one window in the baseline of refusals. */
+constexpr double RejectionBaselineGain{0.25};
+
 /** Reverts a reduction that did not shorten the service time, since concurrency is then not the cause of the slowness. */
 void revertReduction(concurrency_limit &state, double mean) noexcept
 {
@@ -67,16 +71,44 @@
     return state.meanBeforeReduction > 0.0 && mean > state.meanBeforeReduction * (1.0 - requiredImprovement);
 }
 
-void adjustLimit(concurrency_limit &state, double mean) noexcept
+/**
+ * Returns whether a reduction did not lower the part of refused completions by at least half of what it would if the target refused
+ * all above a fixed number.
+ */
+[[nodiscard]] bool rejectionsRemained(const concurrency_limit &state, double before, double now) noexcept
 {
-    const bool rejecting{state.windowRejections > RejectionThreshold * state.windowCount};
-    const bool contended{rejecting || mean > state.options.contentionRatio * state.baseline};
-    const bool limitWasUsed{state.windowPeakRunning >= MinUsedFraction * state.limit};
-    if (state.slowStart) {
-        advanceSlowStart(state, contended);
-    } else if (rejecting) {
+    const double expected{1.0 - (1.0 - before) / state.options.reductionFactor};
+    return now >= (before + expected) / 2.0;
+}
+
+/** Adjusts the limit to the refusals of the target. Returns whether they account for the window. */
+[[nodiscard]] bool adjustToRejections(concurrency_limit &state, double rejections) noexcept
+{
+    if (std::exchange(state.reductionIsSettling, false)) {
+        return true;
+    }
+    const auto before = std::exchange(state.rejectionsBeforeReduction, std::nullopt);
+    if (before && rejectionsRemained(state, *before, rejections)) {
+        state.limit /= state.options.reductionFactor;
+        state.rejectionBaseline = rejections;
+        return true;
+    }
+    const bool isRejecting{rejections > RejectionThreshold + state.rejectionBaseline};
+    if (isRejecting) {
         reduceLimit(state, 0.0);
-    } else if (reductionWasIneffective(state, mean)) {
+        state.rejectionsBeforeReduction = rejections;
+        state.reductionIsSettling = true;
+    } else {
+        state.rejectionBaseline -= RejectionBaselineGain * std::max(0.0, state.rejectionBaseline - rejections);
+    }
+    return isRejecting;
+}
+
+void adjustToServiceTime(concurrency_limit &state, double mean) noexcept
+{
+    const bool contended{mean > state.options.contentionRatio * state.baseline};
+    const bool limitWasUsed{state.windowPeakRunning >= MinUsedFraction * state.limit};
+    if (reductionWasIneffective(state, mean)) {
         revertReduction(state, mean);
     } else if (contended && limitWasUsed) {
         reduceLimit(state, mean);
@@ -86,11 +118,26 @@
     }
 }
 
+void adjustLimit(concurrency_limit &state, double mean, double rejections) noexcept
+{
+    if (state.slowStart) {
+        const bool contended{rejections > RejectionThreshold || mean > state.options.contentionRatio * state.baseline};
+        advanceSlowStart(state, state.options.adapts && contended);
+    } else if (!state.options.adapts) {
+        state.limit = state.bound;
+    } else if (!adjustToRejections(state, rejections)) {
+        adjustToServiceTime(state, mean);
+    }
+}
+
 void closeWindow(concurrency_limit &state, time_point now) noexcept
 {
-    const double mean{state.windowServiceTime / state.windowCount};
-    updateBaseline(state, mean, toSeconds(now - state.windowStart));
-    adjustLimit(state, mean);
+    const std::uint32_t served{state.windowCount - state.windowRejections};
+    const double mean{served > 0 ? state.windowServiceTime / served : state.lastMeanServiceTime};
+    if (served > 0) {
+        updateBaseline(state, mean, toSeconds(now - state.windowStart));
+    }
+    adjustLimit(state, mean, static_cast<double>(state.windowRejections) / state.windowCount);
     clampLimit(state);
     state.lastMeanServiceTime = mean;
     state.windowStart = now;
@@ -121,6 +168,9 @@
     internal::clampLimit(state);
     state.baseline = 0.0;
     state.meanBeforeReduction = 0.0;
+    state.rejectionBaseline = 0.0;
+    state.rejectionsBeforeReduction.reset();
+    state.reductionIsSettling = false;
     state.windowStart = now;
     state.windowServiceTime = 0.0;
     state.windowCount = 0;
@@ -130,11 +180,12 @@
 
 void observeServiceTime(concurrency_limit &state, duration serviceTime, std::uint32_t running, bool rejected, time_point now) noexcept
 {
-    state.windowServiceTime += static_cast<double>(serviceTime.count());
+    state.windowServiceTime += rejected ? 0.0 : static_cast<double>(serviceTime.count());
     state.windowCount += 1;
     state.windowRejections += rejected ? 1 : 0;
     state.windowPeakRunning = std::max(state.windowPeakRunning, running);
-    if (state.windowCount >= state.options.minSamples && now - state.windowStart >= state.options.window) {
+    const std::uint32_t requiredSamples{std::min(state.options.minSamples, currentLimit(state))};
+    if (state.windowCount >= requiredSamples && now - state.windowStart >= state.options.window) {
         internal::closeWindow(state, now);
     }
 }
--- a/src/ragwortpin/admission/concurrency_limit.h
+++ b/src/ragwortpin/admission/concurrency_limit.h
@@ -5,19 +5,22 @@
 #include "ragwortpin/core/time.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace ragwortpin {
 
 /** Settings of an adaptive concurrency limit. */
 struct concurrency_limit_options
 {
+    /** Whether the limit follows service times and refusals of the target. Otherwise it is the bound, except during a slow start. */
+    bool adapts{true};
     /** Initial limit after a cold start, as a fraction of the bound. */
     double initialFraction{0.2};
     /** Factor by which the limit grows in each window of a slow start. */
     double slowStartGrowthFactor{1.25};
     /** Minimum time between two changes of the limit. */
     duration window{milliseconds{100}};
-    /** Minimum number of completions before a window is evaluated. */
+    /** Minimum number of completions before a window is evaluated, unless the limit is lower than this number. */
     std::uint32_t minSamples{30};
     /** Ratio of the mean service time to its baseline above which the limit is reduced. */
     double contentionRatio{1.6};
@@ -29,7 +32,10 @@
     bool operator==(const concurrency_limit_options &) const = default;
 };
 
-/** Adaptive limit on the requests that a target runs concurrently. Only the functions below modify it. */
+/**
+ * Limit on the requests that a target runs concurrently. A reduction that does not shorten the service time, or that does not make
+ * the target refuse fewer requests, is reverted: concurrency is then not the cause. Only the functions below modify it.
+ */
 struct concurrency_limit
 {
     concurrency_limit_options options;
@@ -43,6 +49,12 @@
     double lastMeanServiceTime{0.0};
     /** Mean service time before the last reduction, in microseconds; 0 if there is no reduction whose effect has to be checked. */
     double meanBeforeReduction{0.0};
+    /** Fraction of the completions that the target refuses for another reason than concurrency. */
+    double rejectionBaseline{0.0};
+    /** Fraction of refused completions before the last reduction because of refusals, while its effect has to be checked. */
+    std::optional<double> rejectionsBeforeReduction;
+    /** Whether the window still contains requests that started before that reduction. */
+    bool reductionIsSettling{false};
     time_point windowStart{};
     double windowServiceTime{0.0};
     std::uint32_t windowCount{0};
--- a/src/ragwortpin/node/data_plane.cpp
+++ b/src/ragwortpin/node/data_plane.cpp
@@ -43,16 +43,12 @@
 
 target_options toTargetOptions(const node_settings &settings)
 {
-    /** No service time ratio exceeds this value, so the concurrency limit stays at the announced slots. */
-    constexpr double UnlimitedContentionRatio{1e12};
     target_options options;
     options.headers = settings.headers;
     options.startsCold = settings.overload.coldStart;
     options.usableSlotFraction = settings.overload.usableSlotFraction;
     options.admission.maxQueueDrainTime = settings.overload.maxQueueDelay;
-    if (!settings.overload.adaptiveLimit) {
-        options.admission.limit.contentionRatio = UnlimitedContentionRatio;
-    }
+    options.admission.limit.adapts = settings.overload.adaptiveLimit;
     options.exchange.requestIdField = settings.headers.requestId;
     options.exchange.acceptCloseDelimited = true;
     options.exchange.connectTimeout = TargetConnectTimeout;
--- a/tests/admission/level_test.cpp
+++ b/tests/admission/level_test.cpp
@@ -3,7 +3,11 @@
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
+
+#include <algorithm>
+#include <random>
 #include <string>
+#include <vector>
 
 using namespace ragwortpin;
 
@@ -146,3 +150,75 @@
     feed(milliseconds{30}, 2000);
     CHECK(currentLimit(limit) == 40);
 }
+
+namespace {
+
+/** Target that refuses requests above its capacity, and a part of all others. */
+struct refusing_target
+{
+    const char *name;
+    bool adapts;
+    double capacity;
+    double refusedFraction;
+    /** Bounds of the limit while the target refuses, of 184 slots. */
+    std::uint32_t lowest;
+    std::uint32_t highest;
+};
+
+/** Feeds the completions of one window: as many as the limit allows each 50 ms, some of them refused. */
+void feedWindow(concurrency_limit &limit, const refusing_target &target, double refusedFraction, std::mt19937 &random, time_point &now)
+{
+    constexpr milliseconds ServiceTime{50};
+    constexpr int ServiceTimesPerWindow{2};
+    std::uniform_real_distribution<double> drawn{0.0, 1.0};
+    for (int round{0}; round < ServiceTimesPerWindow; ++round) {
+        const auto running = currentLimit(limit);
+        now += ServiceTime;
+        for (std::uint32_t request{0}; request < running; ++request) {
+            const bool isRefused{request >= target.capacity || drawn(random) < refusedFraction};
+            observeServiceTime(limit, isRefused ? milliseconds{1} : ServiceTime, running, isRefused, now);
+        }
+    }
+}
+
+} // namespace
+
+TEST_CASE("refusals that concurrency does not cause do not close a target down")
+{
+    constexpr std::uint32_t Slots{184};
+    constexpr std::uint32_t NearlyAllSlots{175};
+    const std::vector<refusing_target> cases{
+        {"fixed limit, 55 % refused", false, 1000.0, 0.55, Slots, Slots},
+        {"adaptive limit, 55 % refused", true, 1000.0, 0.55, 90, Slots},
+        {"adaptive limit, 90 % refused", true, 1000.0, 0.9, 90, Slots},
+        {"adaptive limit, all refused", true, 1000.0, 1.0, 90, Slots},
+        {"adaptive limit, refused above 60", true, 60.0, 0.0, 45, 75},
+    };
+    for (const auto &entry : cases) {
+        CAPTURE(entry.name);
+        std::mt19937 random{7};
+        concurrency_limit limit;
+        limit.options.adapts = entry.adapts;
+        setBound(limit, Slots, Slots);
+        limit.limit = Slots;
+        limit.slowStart = false;
+        time_point now{};
+        constexpr int RefusingWindows{85};
+        constexpr int SettledAfter{20};
+        std::uint32_t lowest{Slots};
+        std::uint32_t highest{0};
+        for (int window{0}; window < RefusingWindows; ++window) {
+            feedWindow(limit, entry, entry.refusedFraction, random, now);
+            lowest = std::min(lowest, currentLimit(limit));
+            highest = window < SettledAfter ? 0 : std::max(highest, currentLimit(limit));
+        }
+        CHECK(lowest >= entry.lowest);
+        CHECK(highest <= entry.highest);
+        constexpr int RecoveryWindows{20};
+        const refusing_target healthy{entry.name, entry.adapts, 1000.0, 0.0, 0, 0};
+        for (int window{0}; window < RecoveryWindows; ++window) {
+            feedWindow(limit, healthy, 0.0, random, now);
+        }
+        CHECK(currentLimit(limit) >= NearlyAllSlots);
+    }
+}
