Plan from shorter queues where a service has many slots

First hops did not shed until 368 calls waited.

A queue of half the slots is what uneven arrivals explain at 36 slots. The number of concurrent requests varies like a Poisson variable, so that the explained queue grows with the square root of the slots. A service now counts as overloaded from three deviations on, but not more than half of its slots; the marks for recovery and backlog keep their proportion to it.

The new test failed before: 100 queued at 736 slots made no plan. It passes now, with the cases of 4 and 40 slots as before.

--- a/src/ragwortpin/overload/plan.cpp
+++ b/src/ragwortpin/overload/plan.cpp
@@ -1,6 +1,7 @@
 #include "ragwortpin/overload/plan.h"
 
 #include <algorithm>
+#include <cmath>
 #include <optional>
 #include <span>
 #include <utility>
@@ -9,17 +10,20 @@
 
 namespace {
 
-/** Ratio of queued requests to slots from which on a service counts as overloaded. Uneven arrivals alone cause lower ratios. */
-constexpr double OverloadQueueRatio{0.5};
-
-/** Ratio of queued requests to slots below which a service is no longer overloaded if the demand fits its planned capacity. */
-constexpr double RecoveredQueueRatio{0.1};
-
 /**
- * Ratio of queued requests to slots above which the correction of the planned capacity is decreased. Below `RecoveredQueueRatio` it is
- * increased.
+ * Queue from which on a service counts as overloaded, in standard deviations of the number of concurrent requests. Uneven arrivals alone
+ * cause shorter queues: the number varies like a Poisson variable, so that its deviation is the square root of the slots.
  */
-constexpr double BacklogQueueRatio{1.0};
+constexpr double OverloadDeviations{3.0};
+
+/** Ratio of queued requests to slots from which on a service with few slots counts as overloaded. */
+constexpr double MaxOverloadQueueRatio{0.5};
+
+/** Fraction of the overload queue below which a service is no longer overloaded if the demand fits its planned capacity. */
+constexpr double RecoveredFraction{0.2};
+
+/** Multiple of the overload queue above which the correction of the planned capacity is decreased. It is increased after recovery. */
+constexpr double BacklogMultiple{2.0};
 
 constexpr double CorrectionDecreaseFactor{0.98};
 constexpr double CorrectionIncreaseFactor{1.04};
@@ -203,10 +207,10 @@
     return found == demand.costs.end() ? 0.0 : found->second;
 }
 
-/** Returns the ratio of queued requests to slots. */
-double queueRatioOf(const service_load &load)
+/** Returns the number of queued requests from which on a service counts as overloaded. */
+double overloadQueueOf(const service_load &load)
 {
-    return load.limit > 0.0 ? load.queued / load.limit : 0.0;
+    return std::min(MaxOverloadQueueRatio * load.limit, OverloadDeviations * std::sqrt(load.limit));
 }
 
 /** Returns the number of slots of a service that the whole demand would occupy. */
@@ -225,21 +229,22 @@
  */
 std::optional<double> plannableCapacity(plan_state &state, const std::string &service, const service_load &load, double required)
 {
-    const double queueRatio{queueRatioOf(load)};
+    const double overloadQueue{overloadQueueOf(load)};
     const auto known = state.capacityFactors.find(service);
     if (known == state.capacityFactors.end()) {
-        if (queueRatio < OverloadQueueRatio) {
+        if (load.limit <= 0.0 || load.queued < overloadQueue) {
             return std::nullopt;
         }
         return load.limit * state.capacityFactors.emplace(service, 1.0).first->second;
     }
     auto &correction = known->second;
-    if (queueRatio > BacklogQueueRatio) {
+    const bool isRecovered{load.queued <= RecoveredFraction * overloadQueue};
+    if (load.queued > BacklogMultiple * overloadQueue) {
         correction = std::max(MinCorrection, correction * CorrectionDecreaseFactor);
-    } else if (queueRatio < RecoveredQueueRatio) {
+    } else if (isRecovered) {
         correction = std::min(MaxCorrection, correction * CorrectionIncreaseFactor);
     }
-    if (queueRatio < RecoveredQueueRatio && required <= load.limit * correction) {
+    if (isRecovered && required <= load.limit * correction) {
         state.capacityFactors.erase(known);
         return std::nullopt;
     }
--- a/tests/overload/plan_test.cpp
+++ b/tests/overload/plan_test.cpp
@@ -85,6 +85,44 @@
     CHECK(state.plan.admittedFractions.empty());
 }
 
+namespace {
+
+/** Slots of a service, requests that wait for them, and whether first hops have to plan. */
+struct queue_case
+{
+    double slots;
+    double queued;
+    bool isOverloaded;
+};
+
+} // namespace
+
+TEST_CASE("a queue that uneven arrivals do not explain counts as overload, also at a service with many slots")
+{
+    const std::vector<queue_case> cases{
+        {40.0, 12.0, false},
+        {40.0, 20.0, true},
+        {4.0, 1.0, false},
+        {4.0, 2.0, true},
+        {736.0, 40.0, false},
+        {736.0, 100.0, true},
+        {0.0, 0.0, false},
+    };
+    const auto index = sampleIndex();
+    for (const auto &entry : cases) {
+        CAPTURE(entry.slots, entry.queued);
+        auto picture = samplePicture(0.0);
+        picture.services["deep"] = {entry.slots, entry.slots, entry.queued};
+        for (auto &demand : picture.demands) {
+            demand.requestsPerSecond *= entry.slots;
+        }
+        plan_state state;
+        updatePlan(state, *index, picture);
+        CHECK(state.capacityFactors.contains("deep") == entry.isOverloaded);
+        CHECK(state.plan.admittedFractions.empty() != entry.isOverloaded);
+    }
+}
+
 TEST_CASE("the planned fraction of every sequence of requests is admitted")
 {
     rc::prop("to within one request", [] {
