Read the store when the proof of the configuration gets old

The logs of 14 nodes show a proof_age_ms of 7,600 at all of them and no problem of the store.

Cause: a node reads the store again after 0.5 to 1.5 times the mean interval of its zone times the number of its nodes. After a start of all nodes at once, or a change that all of them read at once, the next read of a zone of 20 is 11 s away at best, and a proof is valid for 4.6 s. Usually nodes hear of each other one by one and draw shorter first intervals, which hid it. Class: periodic work that a common event brings into phase.

Now a node whose proof is older than half of its validity, since no peer had a better one, reads the store after an exponentially distributed time, such that a zone reads four times a second on average until one proof is there, and once each poll interval while the store fails. Nodes whose proofs are renewed in time read as before.

--- a/src/ragwortpin/node/part_settings.cpp
+++ b/src/ragwortpin/node/part_settings.cpp
@@ -8,6 +8,8 @@
 
 /** Peers are asked for a proof once the own one reaches the maximum age divided by this number, so that several rounds fit in. */
 constexpr int ProofRequestDivisor{3};
+/** The store is read once the own proof reaches the maximum age divided by this number, unless a peer has a more recent one. */
+constexpr int ProofRefreshDivisor{2};
 /** Maximum backoff factor of store reads while the store fails. Small because requests are refused while there is no valid proof. */
 constexpr unsigned MaxProofPollBackoff{2};
 
@@ -39,6 +41,7 @@
     result.spread.startSpread = configuration.startSpread;
     if (configuration.maxProofAge > duration::zero()) {
         result.proof.queryAgeThreshold = configuration.maxProofAge / ProofRequestDivisor;
+        result.proof.refreshAge = configuration.maxProofAge / ProofRefreshDivisor;
         result.spread.maxPollBackoff = MaxProofPollBackoff;
     }
     result.secrets = {keys.secrets.front(), keys.secrets.size() > 1 ? keys.secrets[1] : std::string{}};
--- a/src/ragwortpin/peers/control_loop.cpp
+++ b/src/ragwortpin/peers/control_loop.cpp
@@ -167,7 +167,13 @@
 {
     sendMembershipMessages(tickMembership(m_membership, now, m_random));
     const auto peers = samplePeers(m_membership, SampledPeerCount, m_random);
-    const auto actions = tickSpread(m_spread, now, ownZoneSize(m_membership), peers, m_random);
+    const auto zoneSize = ownZoneSize(m_membership);
+    const auto &proof = m_proof.options;
+    const duration refreshInterval{m_spread.pollFailed ? m_spread.options.zonePollInterval : proof.refreshInterval};
+    if (tickProofRefresh(m_proof, now, zoneSize, refreshInterval, m_random)) {
+        ragwortpin::requestPoll(m_spread, now);
+    }
+    const auto actions = tickSpread(m_spread, now, zoneSize, peers, m_random);
     for (const auto &output : actions.messages) {
         sendDatagram(output.to, datagram_kind::Spread, encode(output.message));
     }
--- a/src/ragwortpin/spread/proof.cpp
+++ b/src/ragwortpin/spread/proof.cpp
@@ -54,6 +54,24 @@
     return messages;
 }
 
+bool tickProofRefresh(proof_state &state, time_point now, std::size_t zoneSize, duration interval, std::mt19937_64 &random)
+{
+    const bool isOld{state.options.refreshAge > duration::zero() && state.provenAt && now - *state.provenAt >= state.options.refreshAge};
+    if (!isOld) {
+        state.refreshAt.reset();
+        return false;
+    }
+    if (!state.refreshAt) {
+        const double meanSeconds{toSeconds(interval) * static_cast<double>(std::max<std::size_t>(zoneSize, 1))};
+        state.refreshAt = now + fromSeconds(std::exponential_distribution<double>{1.0 / meanSeconds}(random));
+    }
+    if (now < *state.refreshAt) {
+        return false;
+    }
+    state.refreshAt.reset();
+    return true;
+}
+
 void recordProof(proof_state &state, time_point at)
 {
     state.provenAt = std::max(at, state.provenAt.value_or(at));
--- a/src/ragwortpin/spread/proof.h
+++ b/src/ragwortpin/spread/proof.h
@@ -26,6 +26,10 @@
     duration queryInterval{milliseconds{250}};
     /** Number of peers asked per round. */
     std::size_t queryFanout{2};
+    /** Age of the own proof from which on the nodes of an availability zone read the store more often; zero disables that. */
+    duration refreshAge{0};
+    /** Mean interval between the reads of an availability zone while its proofs are older than refreshAge. */
+    duration refreshInterval{milliseconds{250}};
 
     bool operator==(const proof_options &) const = default;
 };
@@ -76,6 +80,8 @@
     std::array<proof_question, 16> questions{};
     std::size_t nextQuestion{0};
     time_point nextRound{};
+    /** Time at which the store is read if the proof is still older than refreshAge by then. */
+    std::optional<time_point> refreshAt;
 };
 
 /**
@@ -85,6 +91,16 @@
 [[nodiscard]] std::vector<proof_output>
 tickProof(proof_state &state, time_point now, std::span<const instance_record> peers, std::mt19937_64 &random);
 
+/**
+ * Returns whether the store has to be read because the own proof got old and no peer had a more recent one. The regular reads of nodes
+ * that start together, or learn of a change together, leave pauses that are longer than a proof is valid. The time until a read is
+ * exponentially distributed, so that one node of the zone reads soon and the others find its proof.
+ * @param zoneSize number of live nodes in the own availability zone, this node included
+ * @param interval mean interval between the reads of the zone
+ */
+[[nodiscard]] bool
+tickProofRefresh(proof_state &state, time_point now, std::size_t zoneSize, duration interval, std::mt19937_64 &random);
+
 /**
  * Records that no revision newer than the one in force was published at the given time, according to an answer that the store gave at
  * that time or later. An older proof never replaces a newer one.
