Leave the end of an event loop out of its idle time

The test of a loop that always has handlers ready failed once under load: after the last handler had stopped the loop, the meter counted the call that returns at once as waiting. It now returns before.

--- a/src/ragwortpin/runtime/loop_meter.cpp
+++ b/src/ragwortpin/runtime/loop_meter.cpp
@@ -12,7 +12,9 @@
         const auto handlers = static_cast<duration::rep>(context.poll());
         const auto idleSince = monotonicNow();
         // Waits for an event and runs its handler. The handler is taken to last as long as those before did on average.
-        context.run_one();
+        if (context.run_one() == 0) {
+            return;
+        }
         const duration handlerTime{handlers > 0 ? (idleSince - busySince) / handlers : duration::zero()};
         m_idle += std::max(duration::zero(), monotonicNow() - idleSince - handlerTime);
     }
