--- a/src/ragwortpin/node/data_plane.cpp
+++ b/src/ragwortpin/node/data_plane.cpp
@@ -17,6 +17,11 @@
 constexpr std::size_t StoreMailboxCapacity{256};
 constexpr milliseconds QueueCheckInterval{20};
 constexpr milliseconds StateUpdateInterval{100};
+constexpr milliseconds LoopProbeInterval{100};
+constexpr milliseconds LoopCheckInterval{250};
+/** Delays of the event loop at which it is logged as delayed, and as no longer delayed. */
+constexpr milliseconds LoopDelayedThreshold{50};
+constexpr milliseconds LoopRecoveredThreshold{10};
 /** Short because the target runs on the same machine. */
 constexpr milliseconds TargetConnectTimeout{1000};
 /** Some hundred times the network latency between availability zones. A peer that takes longer is partitioned or overloaded. */
@@ -38,16 +43,12 @@
 
 target_options toTargetOptions(const node_settings &settings)
 {
-    /** No service time ratio exceeds this value, so the concurrency limit stays at the announced slots. */
-    constexpr double UnlimitedContentionRatio{1e12};
     target_options options;
     options.headers = settings.headers;
     options.startsCold = settings.overload.coldStart;
     options.usableSlotFraction = settings.overload.usableSlotFraction;
     options.admission.maxQueueDrainTime = settings.overload.maxQueueDelay;
-    if (!settings.overload.adaptiveLimit) {
-        options.admission.limit.contentionRatio = UnlimitedContentionRatio;
-    }
+    options.admission.limit.adapts = settings.overload.adaptiveLimit;
     options.exchange.requestIdField = settings.headers.requestId;
     options.exchange.acceptCloseDelimited = true;
     options.exchange.connectTimeout = TargetConnectTimeout;
@@ -107,6 +108,9 @@
     , m_configuration{configuration}
     , m_services{std::move(services)}
     , m_timer{m_context}
+    , m_loopProbe{m_context}
+    , m_loopMeter{monotonicNow()}
+    , m_loopDelay{metrics.distributionFor("ragwortpin_event_loop_delay_seconds")}
     , m_client{m_context, settings.limits}
     , m_directory{settings.availabilityZone}
     , m_target{m_context, m_client, metrics, m_services.spans, toTargetOptions(settings)}
@@ -159,6 +163,7 @@
                 [this](inbound_call call) {
                     return runLocally(std::move(call));
                 },
+                settings.headers.requestId,
                 metrics}
     , m_callerServer{m_context,
                      settings.limits,
@@ -167,7 +172,8 @@
                      },
                      [this](refusal_kind kind) {
                          m_callers.observeRefusal(kind);
-                     }}
+                     },
+                     observeAbandoned("callers", metrics)}
     , m_egressServer{m_context,
                      settings.limits,
                      [this](http_request request, std::shared_ptr<call_control> control) {
@@ -175,19 +181,33 @@
                      },
                      [this](refusal_kind kind) {
                          m_callers.observeRefusal(kind);
-                     }}
+                     },
+                     observeAbandoned("egress", metrics)}
     , m_peerServer{m_context,
                    settings.limits,
                    [this](http_request request, std::shared_ptr<call_control> control) {
                        return servePeer(std::move(request), std::move(control));
                    },
-                   [](refusal_kind) {}}
+                   [](refusal_kind) {},
+                   observeAbandoned("peers", metrics)}
 {
     metrics.gauge("ragwortpin_mailbox_rejected", [this] {
         return static_cast<double>(fromControl.rejected() + fromOperators.rejected() + fromStore.rejected() + fromClaims.rejected());
     });
 }
 
+/** Returns an observer that counts and logs the requests of a listener whose clients disconnected before they were read. */
+abandon_observer data_plane::observeAbandoned(std::string listener, metrics_registry &metrics) const
+{
+    auto &abandoned = metrics.counterFor("ragwortpin_requests_abandoned_total{listener=\"" + listener + "\"}");
+    return [this, listener = std::move(listener), &abandoned](const http_request &request) {
+        abandoned.add();
+        logDecision(log_weight::Ordinary,
+                    "request_abandoned",
+                    {{"id", std::string{request[m_settings.headers.requestId]}}, {"listener", listener}, {"outcome", "not_run"}});
+    };
+}
+
 std::string data_plane::listen()
 {
     struct listener
@@ -213,7 +233,7 @@
 {
     subscribeTimers();
     armTimer();
-    m_context.run();
+    m_loopMeter.run(m_context);
 }
 
 void data_plane::stop()
@@ -366,6 +386,14 @@
         m_once.wakePendingCalls();
         advanceShutdown(at);
     });
+    m_timers.subscribe(now, LoopProbeInterval, [this](time_point at) {
+        m_loopProbe.send(at);
+    });
+    m_timers.subscribe(now, LoopCheckInterval, [this](time_point at) {
+        const loop_load load{m_loopProbe.takeDelay(at), m_loopMeter.takeUtilisation(at)};
+        observeLoopDelay(load.delay);
+        m_target.observeNodeLoad(load, at);
+    });
     m_timers.subscribe(now, CleanupInterval, [this](time_point at) {
         m_dispatcher.removeExpiredShedLevels(at);
         m_client.closeExpired();
@@ -383,6 +411,23 @@
     });
 }
 
+/** Records the delay of the event loop, and logs when connections begin or cease to wait for the processor. */
+void data_plane::observeLoopDelay(duration delay)
+{
+    m_loopDelay.record(delay);
+    const bool isDelayed{delay >= (m_isLoopDelayed ? LoopRecoveredThreshold : LoopDelayedThreshold)};
+    if (isDelayed == m_isLoopDelayed) {
+        return;
+    }
+    m_isLoopDelayed = isDelayed;
+    logEvent(isDelayed ? log_level::Warning : log_level::Info,
+             isDelayed ? "event_loop_delayed" : "event_loop_recovered",
+             {{"delay_ms", std::to_string(std::chrono::duration_cast<milliseconds>(delay).count())},
+              {"connections", std::to_string(m_callerServer.connections() + m_egressServer.connections() + m_peerServer.connections())},
+              {"requests", std::to_string(requestsInFlight())},
+              {"at_target", std::to_string(m_target.requests())}});
+}
+
 void data_plane::updateOwnRecord()
 {
     const auto &announced = m_target.announced();
--- a/src/ragwortpin/node/data_plane.h
+++ b/src/ragwortpin/node/data_plane.h
@@ -13,6 +13,8 @@
 #include "ragwortpin/peers/control_rpc_jsonrpc.h"
 #include "ragwortpin/peers/datagram.h"
 #include "ragwortpin/peers/forward_gateway.h"
+#include "ragwortpin/runtime/loop_meter.h"
+#include "ragwortpin/runtime/loop_probe.h"
 #include "ragwortpin/runtime/mailbox.h"
 #include "ragwortpin/runtime/timer_service.h"
 #include "ragwortpin/targets/egress_gateway.h"
@@ -90,6 +92,7 @@
 private:
     void handle(control_event event);
     void handle(operator_event event);
+    [[nodiscard]] abandon_observer observeAbandoned(std::string listener, metrics_registry &metrics) const;
     [[nodiscard]] repeat_budget makeFleetRepeatBudget();
     void receiveLoan(const loan_event &loan);
     [[nodiscard]] boost::asio::awaitable<rate_limit_result> takeToken(std::string workspace, std::shared_ptr<call_control> control);
@@ -100,6 +103,7 @@
     [[nodiscard]] std::string ownService() const;
     void subscribeTimers();
     void armTimer();
+    void observeLoopDelay(duration delay);
     void updateOwnRecord();
     void startShutdown();
     [[nodiscard]] bool isAnnouncePeriodOver(time_point now) const;
@@ -115,6 +119,10 @@
     boost::asio::io_context m_context{1};
     boost::asio::steady_timer m_timer;
     timer_service m_timers;
+    loop_probe m_loopProbe;
+    loop_meter m_loopMeter;
+    distribution &m_loopDelay;
+    bool m_isLoopDelayed{false};
     http_client_pool m_client;
     instance_directory m_directory;
     target_gateway m_target;
--- a/src/ragwortpin/runtime/fwd.h
+++ b/src/ragwortpin/runtime/fwd.h
@@ -6,6 +6,8 @@
 template<typename Value>
 class bounded_ring;
 class timer_service;
+class loop_probe;
+class loop_meter;
 class metrics_registry;
 
 } // namespace ragwortpin
