--- a/src/ragwortpin/digest/codec.cpp
+++ b/src/ragwortpin/digest/codec.cpp
@@ -19,6 +19,11 @@
 constexpr std::uint32_t DemandFields{3};
 constexpr std::uint32_t ProfileFields{4};
 constexpr std::uint32_t CallFields{2};
+/**
+ * Workspace id of an entry among the usages which says that the report is complete. Nodes that do not know it take it for a workspace
+ * without a limit.
+ */
+constexpr std::uint32_t CompleteReportMarker{0};
 /** Number of usages that truncateToDatagram() always keeps, and the maximum encoded size of one usage. */
 constexpr std::size_t MinUsages{24};
 constexpr std::size_t MaxUsageBytes{20};
@@ -74,7 +79,13 @@
         out.pack(demand.rank);
         out.pack(toFixedPoint(demand.requestsPerSecond));
     }
-    out.pack_array(static_cast<std::uint32_t>(digest.usage.usages.size()));
+    out.pack_array(static_cast<std::uint32_t>(digest.usage.usages.size()) + (digest.usage.isComplete ? 1 : 0));
+    if (digest.usage.isComplete) {
+        out.pack_array(UsageFields);
+        out.pack(CompleteReportMarker);
+        out.pack(std::uint64_t{0});
+        out.pack(std::uint64_t{0});
+    }
     for (const auto &usage : digest.usage.usages) {
         out.pack_array(UsageFields);
         out.pack(usage.workspace);
@@ -163,7 +174,12 @@
     }
     const auto &usages = readList(fields[10]);
     for (std::uint32_t index{0}; index < usages.size; ++index) {
-        digest.usage.usages.push_back(readUsage(usages.ptr[index]));
+        const auto usage = readUsage(usages.ptr[index]);
+        if (usage.workspace == CompleteReportMarker) {
+            digest.usage.isComplete = true;
+        } else {
+            digest.usage.usages.push_back(usage);
+        }
     }
     return digest;
 }
--- a/src/ragwortpin/digest/digest.cpp
+++ b/src/ragwortpin/digest/digest.cpp
@@ -53,22 +53,25 @@
     return nodes[relay.position];
 }
 
-void appendMessages(std::vector<digest_output> &outputs, const instance_record &to, const std::vector<const node_digest *> &digests)
+/** Encodes digests as one message, which is split into as many datagrams as needed. */
+[[nodiscard]] std::vector<std::string> encodeMessage(const std::vector<const node_digest *> &digests)
 {
+    std::vector<std::string> payloads;
     std::size_t position{0};
     while (position < digests.size()) {
         auto payload = encodeDigests(digests, position);
-        outputs.push_back({to, std::move(payload)});
+        payloads.push_back(std::move(payload));
     }
+    return payloads;
 }
 
-/** Returns the digests that were not forwarded yet, of the own zone only or of all zones. */
-[[nodiscard]] std::vector<const node_digest *> unforwardedDigests(const digest_state &state, bool ownZoneOnly)
+/** Returns the digests that were not forwarded yet and for whose entries the condition holds. */
+template<typename Condition>
+[[nodiscard]] std::vector<const node_digest *> unforwardedDigests(const digest_state &state, Condition isWanted)
 {
     std::vector<const node_digest *> digests;
     for (const auto &[name, entry] : state.entries) {
-        const bool wanted{!ownZoneOnly || entry.digest.availabilityZone == state.availabilityZone};
-        if (!entry.isForwarded && wanted) {
+        if (!entry.isForwarded && isWanted(entry)) {
             digests.push_back(&entry.digest);
         }
     }
@@ -79,26 +82,61 @@
 [[nodiscard]] std::vector<digest_output>
 makeRelayDatagrams(digest_state &state, const node_digest &own, const zone_members &zones, time_point now)
 {
-    std::vector<digest_output> outputs;
-    auto zoneDigests = unforwardedDigests(state, true);
+    auto zoneDigests = unforwardedDigests(state, [&state](const digest_entry &entry) {
+        return entry.digest.availabilityZone == state.availabilityZone;
+    });
     zoneDigests.push_back(&own);
-    auto allDigests = unforwardedDigests(state, false);
+    auto allDigests = unforwardedDigests(state, [](const digest_entry &) {
+        return true;
+    });
     allDigests.push_back(&own);
+    digest_output toZones{.recipients = {}, .payloads = encodeMessage(zoneDigests)};
+    digest_output toNodes{.recipients = {}, .payloads = encodeMessage(allDigests)};
     for (const auto &[zone, nodes] : zones) {
         if (zone != state.availabilityZone) {
-            appendMessages(outputs, *relayOf(state, zone, nodes, now), zoneDigests);
+            const auto *relay = relayOf(state, zone, nodes, now);
+            toZones.recipients.push_back(*relay);
+            if (relay != nodes.front()) {
+                toZones.recipients.push_back(*nodes.front());
+            }
             continue;
         }
         for (const auto *node : nodes) {
             if (node->name != state.instance) {
-                appendMessages(outputs, *node, allDigests);
+                toNodes.recipients.push_back(*node);
             }
         }
     }
     for (auto &[name, entry] : state.entries) {
         entry.isForwarded = true;
     }
-    return outputs;
+    return {std::move(toZones), std::move(toNodes)};
+}
+
+/** Returns the datagrams of a node that is not a relay: its own digest and those that nodes of other zones sent to it. */
+[[nodiscard]] std::vector<digest_output> makeNodeDatagrams(digest_state &state, const node_digest &own, const instance_record &relay)
+{
+    auto digests = unforwardedDigests(state, [](const digest_entry &entry) {
+        return entry.isFromOtherZone;
+    });
+    digests.push_back(&own);
+    digest_output output{.recipients = {relay}, .payloads = encodeMessage(digests)};
+    for (auto &[name, entry] : state.entries) {
+        entry.isForwarded = entry.isForwarded || entry.isFromOtherZone;
+    }
+    return {std::move(output)};
+}
+
+/** Returns whether a message comes from another zone. The digests of an unknown sender's message tell, as relays send those of their zone.
+ */
+[[nodiscard]] bool isFromOtherZone(const digest_state &state, const instance_record *sender, const std::vector<node_digest> &digests)
+{
+    if (sender != nullptr) {
+        return sender->availabilityZone != state.availabilityZone;
+    }
+    return std::none_of(digests.begin(), digests.end(), [&state](const node_digest &digest) {
+        return digest.availabilityZone == state.availabilityZone;
+    });
 }
 
 /** Records that a node acts as relay of its zone. It replaces a relay that comes later in the order of names. */
@@ -152,9 +190,7 @@
     if (relay->name == state.instance) {
         return internal::makeRelayDatagrams(state, own, zones, now);
     }
-    std::vector<digest_output> outputs;
-    internal::appendMessages(outputs, *relay, {&own});
-    return outputs;
+    return internal::makeNodeDatagrams(state, own, *relay);
 }
 
 std::optional<std::vector<node_digest>>
@@ -165,8 +201,7 @@
         return std::nullopt;
     }
     const bool carriesOthers{digests->size() > 1 || (digests->size() == 1 && digests->front().usage.instance != sender)};
-    const auto *known = findInstance(members, sender);
-    const bool isForeign{known != nullptr && known->availabilityZone != state.availabilityZone};
+    const bool isForeign{internal::isFromOtherZone(state, findInstance(members, sender), *digests)};
     if (carriesOthers || isForeign) {
         internal::recordRelayActivity(state, sender, members, now);
     }
@@ -181,7 +216,7 @@
         if (isOutdated) {
             continue;
         }
-        entry = {digest, now, false};
+        entry = {.digest = digest, .receivedAt = now, .isForwarded = false, .isFromOtherZone = isForeign};
         accepted.push_back(std::move(digest));
     }
     return accepted;
--- a/src/ragwortpin/digest/digest.h
+++ b/src/ragwortpin/digest/digest.h
@@ -57,8 +57,10 @@
 {
     node_digest digest;
     time_point receivedAt{};
-    /** Whether the digest was included in a relay round since its reception. */
+    /** Whether the digest was passed on since its reception. */
     bool isForwarded{false};
+    /** Whether a node of another availability zone sent the digest to this node, which need not be the relay of its zone. */
+    bool isFromOtherZone{false};
 
     bool operator==(const digest_entry &) const = default;
 };
@@ -90,11 +92,11 @@
     [[nodiscard]] bool operator==(const digest_state &) const = default;
 };
 
-/** A datagram to send and its destination. */
+/** Datagrams to send, and the nodes that each of them is sent to. */
 struct digest_output
 {
-    instance_record to;
-    std::string payload;
+    std::vector<instance_record> recipients;
+    std::vector<std::string> payloads;
 
     bool operator==(const digest_output &) const = default;
 };
@@ -107,6 +109,10 @@
  * active. A relay forwards the new digests of its zone to the relays of the other zones, and all new digests to the nodes of its zone.
  * So a node that is not a relay sends one message per round and receives one from its relay, independent of the fleet size, and each
  * pair of zones exchanges one message per direction. A message is split into several datagrams if the digests exceed one.
+ *
+ * Two relays may each take another node for the relay of the other zone, for example while nodes start and know few others. So a node
+ * that is not a relay passes digests that other zones sent to it on to its relay, and where a zone's first node was replaced as relay,
+ * other zones send to the first node as well.
  */
 [[nodiscard]] std::vector<digest_output>
 tickDigests(digest_state &state, const node_digest &own, const membership_view &members, time_point now);
--- a/src/ragwortpin/node/data_plane.cpp
+++ b/src/ragwortpin/node/data_plane.cpp
@@ -125,7 +125,7 @@
                    toDispatchOptions(settings),
                    makeFleetRepeatBudget()}
     , m_rates{m_context, toRightsSettings(settings), toRightsIdentity(settings), m_services.rates, metrics}
-    , m_fleet{m_context, settings, {m_services.sendDigest, m_services.rates.sendMessage}, metrics}
+    , m_fleet{m_context, settings, {m_services.sendDigests, m_services.rates.sendMessage}, metrics}
     , m_once{m_context, m_dispatcher, m_services.claims, metrics}
     , m_callerServices{configuration,
                        m_dispatcher,
--- a/src/ragwortpin/node/data_plane.h
+++ b/src/ragwortpin/node/data_plane.h
@@ -36,7 +36,7 @@
     /** Announces the node's own membership record. Returns false if the caller has to retry. */
     std::function<bool(const instance_record &)> announceOwnRecord;
     rate_driver_outputs rates;
-    peer_sender sendDigest;
+    digest_sender sendDigests;
     claim_sender claims;
     span_sink spans;
     /** Returns the age of the latest proof that the configuration in force is the newest; nothing if no proof is required. */
--- a/src/ragwortpin/node/fleet_driver.cpp
+++ b/src/ragwortpin/node/fleet_driver.cpp
@@ -81,7 +81,7 @@
             names.push_back(record.name);
         }
     }
-    reserveForPeers(m_rates, names, monotonicNow());
+    setMembers(m_rates, names, monotonicNow());
 }
 
 void fleet_driver::receive(std::string_view sender, std::string_view payload)
@@ -109,7 +109,7 @@
     smoothDemands(toSeconds(elapsed));
     const auto own = ownDigest(target);
     for (auto &output : tickDigests(m_digests, own, *m_members, now)) {
-        m_outputs.sendDigest(output.to, std::move(output.payload));
+        m_outputs.sendDigests(std::move(output));
     }
     updateAdmissionPlan(own);
     m_changed.notifyAll();
@@ -330,9 +330,16 @@
         return left.requestsPerSecond > right.requestsPerSecond;
     });
     digest.demands.resize(std::min(digest.demands.size(), MaxDemands));
-    digest.usage = {.instance = m_digests.instance, .incarnation = m_incarnation, .sequence = ++m_sequence, .usages = ownUsages(m_rates)};
+    const auto now = monotonicNow();
+    auto listing = ownUsages(m_rates, now);
+    digest.usage = {.instance = m_digests.instance,
+                    .incarnation = m_incarnation,
+                    .sequence = ++m_sequence,
+                    .usages = std::move(listing.usages),
+                    .isComplete = true};
     truncateToDatagram(digest);
-    markReported(m_rates, digest.usage.usages, monotonicNow());
+    digest.usage.isComplete = digest.usage.usages.size() >= listing.changed;
+    markReported(m_rates, digest.usage.usages, now);
     return digest;
 }
 
--- a/src/ragwortpin/node/fleet_driver.h
+++ b/src/ragwortpin/node/fleet_driver.h
@@ -28,10 +28,13 @@
 /** Sends a datagram to the node of an instance. Delivery is not guaranteed. */
 using peer_sender = std::function<void(const instance_record &to, std::string payload)>;
 
+/** Sends each of several datagrams to each of several nodes. Delivery is not guaranteed. */
+using digest_sender = std::function<void(digest_output output)>;
+
 /** Functions through which a fleet driver sends datagrams to its peers. */
 struct fleet_driver_outputs
 {
-    peer_sender sendDigest;
+    digest_sender sendDigests;
     peer_sender sendLoan;
 };
 
--- a/src/ragwortpin/node/node.cpp
+++ b/src/ragwortpin/node/node.cpp
@@ -152,10 +152,15 @@
             return m_control.setOwnRecord(record);
         };
         services.rates.sendMessage = [this](const instance_record &to, std::string payload) {
-            m_control.send({to.address, to.gossipPort}, datagram_kind::Loans, std::move(payload));
+            m_control.send({{to.address, to.gossipPort}}, datagram_kind::Loans, {std::move(payload)});
         };
-        services.sendDigest = [this](const instance_record &to, std::string payload) {
-            m_control.send({to.address, to.gossipPort}, datagram_kind::Digest, std::move(payload));
+        services.sendDigests = [this](digest_output output) {
+            std::vector<peer_address> to;
+            to.reserve(output.recipients.size());
+            for (const auto &recipient : output.recipients) {
+                to.push_back({recipient.address, recipient.gossipPort});
+            }
+            m_control.send(std::move(to), datagram_kind::Digest, std::move(output.payloads));
         };
         services.rates.callStore = [this](rights_store_call call) {
             const auto token = call.token;
--- a/src/ragwortpin/peers/control_duty.cpp
+++ b/src/ragwortpin/peers/control_duty.cpp
@@ -67,9 +67,9 @@
     return m_loop->post(internal::head_reply_command{std::move(reply)});
 }
 
-bool control_duty::send(const peer_address &to, datagram_kind kind, std::string payload)
+bool control_duty::send(std::vector<peer_address> to, datagram_kind kind, std::vector<std::string> payloads)
 {
-    return m_loop->post(internal::send_command{to, kind, std::move(payload)});
+    return m_loop->post(internal::send_command{std::move(to), kind, std::move(payloads)});
 }
 
 control_methods control_duty::methods() const
--- a/src/ragwortpin/peers/control_duty.h
+++ b/src/ragwortpin/peers/control_duty.h
@@ -128,8 +128,11 @@
     /** Passes on the result of control_callbacks::readHead. Returns false if the command queue is full; the read then counts as failed. */
     bool postHeadReply(head_reply reply);
 
-    /** Sends a payload to a peer without delivery guarantee. Returns false if the command queue is full. */
-    bool send(const peer_address &to, datagram_kind kind, std::string payload);
+    /**
+     * Sends each payload to each peer, without delivery guarantee. Takes one entry of the command queue. Returns false, with nothing sent,
+     * if the queue is full.
+     */
+    bool send(std::vector<peer_address> to, datagram_kind kind, std::vector<std::string> payloads);
 
     /** Returns the methods that answer the control calls of peers. They are thread-safe and must not outlive this object. */
     [[nodiscard]] control_methods methods() const;
--- a/src/ragwortpin/peers/control_loop.cpp
+++ b/src/ragwortpin/peers/control_loop.cpp
@@ -175,10 +175,10 @@
     }
     const auto actions = tickSpread(m_spread, now, zoneSize, peers, m_random);
     for (const auto &output : actions.messages) {
-        sendDatagram(output.to, datagram_kind::Spread, encode(output.message));
+        sendDatagram({&output.to, 1}, datagram_kind::Spread, encode(output.message));
     }
     for (const auto &output : tickProof(m_proof, now, peers, m_random)) {
-        sendDatagram(output.to, datagram_kind::Proof, encode(output.message));
+        sendDatagram({&output.to, 1}, datagram_kind::Proof, encode(output.message));
     }
     if (actions.pull) {
         startPull(*actions.pull);
@@ -244,7 +244,9 @@
         ragwortpin::requestPoll(m_spread, now);
         tick(now);
     } else if (auto *send = std::get_if<send_command>(&value)) {
-        sendDatagram(send->to, send->kind, std::move(send->payload));
+        for (auto &payload : send->payloads) {
+            sendDatagram(send->to, send->kind, std::move(payload));
+        }
     }
 }
 
@@ -312,7 +314,7 @@
         return;
     }
     if (const auto answer = answerProof(m_proof, *message, m_spread.inForce.revision, monotonicNow())) {
-        sendDatagram(from, datagram_kind::Proof, encode(*answer));
+        sendDatagram({&from, 1}, datagram_kind::Proof, encode(*answer));
     }
 }
 
@@ -349,11 +351,11 @@
 void control_loop::sendMembershipMessages(const std::vector<membership_output> &outputs)
 {
     for (const auto &output : outputs) {
-        sendDatagram(output.to, datagram_kind::Membership, encode(output.message));
+        sendDatagram({&output.to, 1}, datagram_kind::Membership, encode(output.message));
     }
 }
 
-void control_loop::sendDatagram(const peer_address &to, datagram_kind kind, std::string payload)
+void control_loop::sendDatagram(std::span<const peer_address> to, datagram_kind kind, std::string payload)
 {
     m_channel.send(to, {kind, m_settings.self.name, m_settings.self.availabilityZone, {}, std::move(payload)});
 }
--- a/src/ragwortpin/peers/control_loop.h
+++ b/src/ragwortpin/peers/control_loop.h
@@ -46,12 +46,12 @@
     pull_reply reply;
 };
 
-/** Sends a datagram. */
+/** Sends each of several datagrams to each of several peers. */
 struct send_command
 {
-    peer_address to;
+    std::vector<peer_address> to;
     datagram_kind kind;
-    std::string payload;
+    std::vector<std::string> payloads;
 };
 
 /** Triggers a read of the store's head, which may have changed. */
@@ -111,7 +111,7 @@
     void publishProof();
     void recordPeerRevision(const std::string &peer, std::uint64_t revision, const std::string &zone, const peer_address &control);
     void sendMembershipMessages(const std::vector<membership_output> &outputs);
-    void sendDatagram(const peer_address &to, datagram_kind kind, std::string payload);
+    void sendDatagram(std::span<const peer_address> to, datagram_kind kind, std::string payload);
     void startPull(const pull_request &request);
     void applyContent(std::optional<configuration_content> content);
     bool isZoneAllowed(const std::string &zone) const;
--- a/src/ragwortpin/peers/udp_channel.cpp
+++ b/src/ragwortpin/peers/udp_channel.cpp
@@ -47,23 +47,32 @@
     m_socket.close(ignored);
 }
 
-void udp_channel::send(const peer_address &to, datagram value)
+void udp_channel::send(std::span<const peer_address> to, datagram value)
 {
     value.sentAt = wallClockNow();
-    boost::system::error_code error;
-    const auto address = asio::ip::make_address(to.address, error);
     const auto sealed = seal(value, m_secrets.current);
-    if (error || sealed.error) {
-        ++m_counters.sendFailures;
+    if (sealed.error) {
+        m_counters.sendFailures += to.size();
         return;
     }
-    m_socket.send_to(asio::buffer(sealed.bytes), asio::ip::udp::endpoint{address, to.port}, 0, error);
+    for (const auto &peer : to) {
+        sendBytes(peer, sealed.bytes);
+    }
+}
+
+void udp_channel::sendBytes(const peer_address &to, const std::string &bytes)
+{
+    boost::system::error_code error;
+    const auto address = asio::ip::make_address(to.address, error);
+    if (!error) {
+        m_socket.send_to(asio::buffer(bytes), asio::ip::udp::endpoint{address, to.port}, 0, error);
+    }
     if (error) {
         ++m_counters.sendFailures;
         return;
     }
     ++m_counters.sent;
-    m_counters.bytesSent += sealed.bytes.size() + UdpHeaderBytes;
+    m_counters.bytesSent += bytes.size() + UdpHeaderBytes;
 }
 
 void udp_channel::receiveNext()
--- a/src/ragwortpin/peers/udp_channel.h
+++ b/src/ragwortpin/peers/udp_channel.h
@@ -10,6 +10,7 @@
 #include <array>
 #include <cstdint>
 #include <functional>
+#include <span>
 #include <string>
 #include <system_error>
 
@@ -46,8 +47,8 @@
     /** Closes the socket and stops receiving. */
     void close();
 
-    /** Sets the sending time of a datagram, signs and sends it. Failures are counted but not reported to the caller. */
-    void send(const peer_address &to, datagram value);
+    /** Sets the sending time of a datagram, signs it and sends it to each peer. Failures are counted but not reported to the caller. */
+    void send(std::span<const peer_address> to, datagram value);
 
     /** Returns the events counted so far. */
     [[nodiscard]] const udp_counters &counters() const noexcept
@@ -56,6 +57,7 @@
     }
 
 private:
+    void sendBytes(const peer_address &to, const std::string &bytes);
     void receiveNext();
     void handle(std::size_t size);
 
--- a/src/ragwortpin/rates/shared_rates.cpp
+++ b/src/ragwortpin/rates/shared_rates.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <tuple>
 #include <unordered_set>
+#include <utility>
 
 namespace ragwortpin {
 
@@ -20,6 +21,9 @@
 /** Demand up to which a workspace is omitted from reports, in requests per second. */
 constexpr double MinReportedDemand{0.01};
 
+/** Relative change of the demand from which on it is reported at once. */
+constexpr double MaxDemandError{0.25};
+
 constexpr duration MinRetryAfter{milliseconds{250}};
 constexpr duration MaxRetryAfter{seconds{3}};
 
@@ -42,17 +46,58 @@
 }
 
 /** Replaces the estimate of what a peer admitted by the count that it reports, and corrects the level of the bucket by the difference. */
-[[nodiscard]] peer_usage replaceEstimate(shared_rates &state, const workspace_usage &reported, const peer_usage &before, time_point now)
+void replaceEstimate(shared_rates &state, std::uint32_t workspace, peer_usage &usage, std::uint64_t admitted)
 {
-    const peer_usage after{.admitted = reported.admitted, .demand = reported.demand, .estimatedAdmitted = 0.0, .listedAt = now};
-    const auto found = state.buckets.find(reported.workspace);
-    if (found == state.buckets.end()) {
-        return after;
+    const double spent{admitted > usage.admitted ? static_cast<double>(admitted - usage.admitted) : 0.0};
+    const double correction{std::exchange(usage.estimatedAdmitted, 0.0) - spent};
+    usage.admitted = admitted;
+    const auto found = correction == 0.0 ? state.buckets.end() : state.buckets.find(workspace);
+    if (found != state.buckets.end()) {
+        auto &bucket = found->second;
+        bucket.level = std::min(bucket.burst, bucket.level + correction);
+    }
+}
+
+/**
+ * Returns how many of the requests in the first listing of a workspace a peer admitted before this node knew the peer. Those are not
+ * subtracted, since the initial level of the bucket accounts for them.
+ */
+[[nodiscard]] std::uint64_t admittedBeforeFirstReport(const workspace_usage &listed, time_point firstReportAt, time_point now)
+{
+    const double since{std::ceil(listed.demand * std::max(0.0, toSeconds(now - firstReportAt)))};
+    return listed.admitted - std::min(listed.admitted, static_cast<std::uint64_t>(since));
+}
+
+/** Applies the usages that a report lists. */
+void applyListed(shared_rates &state, peer_state &peer, const usage_report &report, time_point now)
+{
+    for (const auto &listed : report.usages) {
+        const auto [entry, isNew] = peer.usages.try_emplace(listed.workspace);
+        auto &usage = entry->second;
+        if (isNew || usage.listedAt == time_point{}) {
+            usage.admitted = admittedBeforeFirstReport(listed, peer.firstReportAt, now);
+        }
+        replaceEstimate(state, listed.workspace, usage, listed.admitted);
+        usage.demand = listed.demand;
+        usage.listedAt = now;
+        usage.knownAt = now;
+    }
+}
+
+/**
+ * Updates the usages that a report does not list. If all changes up to it were received, their counts are unchanged. A workspace that was
+ * not listed for `unlistedTimeout` is inactive at the peer.
+ */
+void updateUnlisted(shared_rates &state, peer_state &peer, bool isUnchanged, time_point now)
+{
+    for (auto &[workspace, usage] : peer.usages) {
+        const bool isInactive{now - usage.listedAt > state.options.unlistedTimeout};
+        if (isUnchanged || isInactive) {
+            replaceEstimate(state, workspace, usage, usage.admitted);
+        }
+        usage.knownAt = isUnchanged ? now : usage.knownAt;
+        usage.demand = isInactive ? 0.0 : usage.demand;
     }
-    auto &bucket = found->second;
-    const double spent{reported.admitted > before.admitted ? static_cast<double>(reported.admitted - before.admitted) : 0.0};
-    bucket.level = std::min(bucket.burst, bucket.level + before.estimatedAdmitted - spent);
-    return after;
 }
 
 [[nodiscard]] double smoothedDemand(const shared_bucket &bucket, double elapsed, duration timeConstant) noexcept
@@ -180,6 +225,18 @@
     }
 }
 
+/** Determines from the ages of their reports which peers are stale. A peer that became stale may spend tokens of any workspace. */
+void updateStalePeers(shared_rates &state, time_point now)
+{
+    for (auto &[name, peer] : state.peers) {
+        peer.isStale = peer.awaitsFirstReport || now - peer.lastReportAt > state.options.staleReportAge;
+        if (peer.isStale) {
+            addMissingUsages(peer, state.buckets);
+        }
+    }
+}
+
+/** Subtracts estimates for the workspaces of which a peer's last report is old, also where the peer reported others since. */
 void subtractPeerEstimates(shared_rates &state, const tick_interval &last, time_point now)
 {
     std::unordered_map<std::uint32_t, double> levels;
@@ -187,16 +244,9 @@
         levels.emplace(workspace, bucket.level);
     }
     for (auto &[name, peer] : state.peers) {
-        const duration reportAge{now - peer.lastReportAt};
-        peer.isStale = peer.awaitsFirstReport || reportAge > state.options.staleReportAge;
-        if (reportAge <= state.options.freshReportAge) {
-            continue;
-        }
-        if (peer.isStale) {
-            addMissingUsages(peer, state.buckets);
-        }
         for (auto &[workspace, usage] : peer.usages) {
-            const auto bucket = state.buckets.find(workspace);
+            const bool isCurrent{!peer.isStale && now - usage.knownAt <= state.options.freshReportAge};
+            const auto bucket = isCurrent ? state.buckets.end() : state.buckets.find(workspace);
             if (bucket != state.buckets.end()) {
                 subtractEstimate(bucket->second, usage, last, levels[workspace], peer.isStale);
             }
@@ -227,6 +277,22 @@
     bucket.allowance = std::max(0.0, bucket.allowance - 1.0);
 }
 
+/** Returns whether the admitted requests of a workspace changed and not enough reports included the change. */
+[[nodiscard]] bool isChanged(const shared_bucket &bucket) noexcept
+{
+    return bucket.admitted != bucket.reportedAdmitted || bucket.reportsOfAdmitted < ReportsOfChange;
+}
+
+/** Returns whether an active workspace has to be reported although its admitted requests did not change. */
+[[nodiscard]] bool isListingDue(const shared_bucket &bucket, const shared_rate_options &options, time_point now) noexcept
+{
+    if (bucket.demand <= MinReportedDemand) {
+        return false;
+    }
+    const bool isDemandChanged{std::abs(bucket.demand - bucket.reportedDemand) > MaxDemandError * bucket.reportedDemand + MinDemand};
+    return isDemandChanged || now - bucket.reportedAt >= options.listingInterval;
+}
+
 [[nodiscard]] duration timeUntilToken(const shared_bucket &bucket) noexcept
 {
     const double missing{std::max(1.0, 1.0 - bucket.level)};
@@ -246,7 +312,7 @@
     for (const char character : name) {
         hash = (hash ^ static_cast<unsigned char>(character)) * Prime;
     }
-    return hash;
+    return std::max(hash, 1U);
 }
 
 shared_rates makeSharedRates(const shared_rate_options &options, time_point now)
@@ -283,84 +349,95 @@
     });
 }
 
-void reserveForPeers(shared_rates &state, const std::vector<std::string> &names, time_point now)
+void setMembers(shared_rates &state, const std::vector<std::string> &names, time_point now)
 {
-    if (now - state.startedAt > state.options.peerExpiry) {
-        return;
+    for (auto &[name, peer] : state.peers) {
+        peer.isMember = false;
     }
     for (const auto &name : names) {
-        state.peers.try_emplace(name, peer_state{.lastReportAt = now, .awaitsFirstReport = true, .isStale = true, .usages = {}});
+        auto &peer = state.peers.try_emplace(name, peer_state{.awaitsFirstReport = true, .isStale = true, .usages = {}}).first->second;
+        peer.isMember = true;
+        peer.lastReportAt = peer.awaitsFirstReport ? now : peer.lastReportAt;
     }
 }
 
 void applyReport(shared_rates &state, const usage_report &report, time_point now)
 {
-    const auto [entry, inserted] = state.peers.try_emplace(report.instance);
-    auto &peer = entry->second;
-    const bool isFirstReport{inserted || peer.awaitsFirstReport};
+    auto &peer = state.peers.try_emplace(report.instance, peer_state{.awaitsFirstReport = true, .usages = {}}).first->second;
+    const bool isFirstReport{peer.awaitsFirstReport};
     const bool isRestarted{!isFirstReport && peer.incarnation != report.incarnation};
     if (!isFirstReport && !isRestarted && report.sequence <= peer.sequence) {
         return;
     }
-    std::unordered_map<std::uint32_t, peer_usage> usages;
-    for (const auto &usage : report.usages) {
-        auto before = peer_usage{.admitted = isFirstReport ? usage.admitted : 0};
-        if (const auto known = peer.usages.find(usage.workspace); known != peer.usages.end()) {
-            before.estimatedAdmitted = known->second.estimatedAdmitted;
-            before.admitted = isFirstReport ? usage.admitted : (isRestarted ? 0 : known->second.admitted);
-        }
-        usages.emplace(usage.workspace, internal::replaceEstimate(state, usage, before, now));
+    if (isFirstReport) {
+        peer.firstReportAt = now;
     }
-    for (const auto &[workspace, usage] : peer.usages) {
-        if (usages.contains(workspace)) {
-            continue;
-        }
-        auto kept = usage;
-        const bool isExpired{isRestarted || now - usage.listedAt > state.options.unlistedTimeout};
-        if (isExpired) {
-            kept = internal::replaceEstimate(state, {workspace, usage.admitted, 0.0}, usage, usage.listedAt);
-            kept.admitted = isRestarted ? 0 : kept.admitted;
+    if (isRestarted) {
+        for (auto &[workspace, usage] : peer.usages) {
+            internal::replaceEstimate(state, workspace, usage, usage.admitted);
+            usage = {.listedAt = usage.listedAt};
         }
-        usages.emplace(workspace, kept);
     }
-    peer = {report.incarnation, report.sequence, now, false, false, std::move(usages)};
+    const bool hasAllChanges{!isFirstReport && !isRestarted && report.sequence - peer.sequence <= ReportsOfChange};
+    internal::applyListed(state, peer, report, now);
+    internal::updateUnlisted(state, peer, report.isComplete && hasAllChanges, now);
+    peer.incarnation = report.incarnation;
+    peer.sequence = report.sequence;
+    peer.lastReportAt = now;
+    peer.awaitsFirstReport = false;
+    peer.isStale = false;
 }
 
 void updateAllowances(shared_rates &state, time_point now)
 {
     std::erase_if(state.peers, [&](const auto &entry) {
-        return now - entry.second.lastReportAt > state.options.peerExpiry;
+        return !entry.second.isMember && now - entry.second.lastReportAt > state.options.peerExpiry;
     });
     const internal::tick_interval last{toSeconds(now - state.lastTick), static_cast<double>(state.peers.size() + 1)};
     state.lastTick = now;
+    internal::updateStalePeers(state, now);
     for (auto &[workspace, bucket] : state.buckets) {
         internal::updateBucket(bucket, internal::demandOfPeers(state, workspace), last, state.options, now);
     }
     internal::subtractPeerEstimates(state, last, now);
 }
 
-std::vector<workspace_usage> ownUsages(const shared_rates &state)
+usage_listing ownUsages(const shared_rates &state, time_point now)
 {
-    std::vector<workspace_usage> usages;
+    usage_listing listing;
+    std::vector<workspace_usage> due;
     for (const auto &[workspace, bucket] : state.buckets) {
-        if (bucket.demand > internal::MinReportedDemand) {
-            usages.push_back({workspace, bucket.admitted, bucket.demand});
+        const workspace_usage usage{workspace, bucket.admitted, bucket.demand};
+        if (internal::isChanged(bucket)) {
+            listing.usages.push_back(usage);
+        } else if (internal::isListingDue(bucket, state.options, now)) {
+            due.push_back(usage);
         }
     }
-    std::sort(usages.begin(), usages.end(), [&state](const auto &left, const auto &right) {
+    const auto isReportedEarlier = [&state](const workspace_usage &left, const workspace_usage &right) {
         const auto leftAt = state.buckets.at(left.workspace).reportedAt;
         const auto rightAt = state.buckets.at(right.workspace).reportedAt;
         return std::tie(leftAt, left.workspace) < std::tie(rightAt, right.workspace);
-    });
-    return usages;
+    };
+    std::sort(listing.usages.begin(), listing.usages.end(), isReportedEarlier);
+    std::sort(due.begin(), due.end(), isReportedEarlier);
+    listing.changed = listing.usages.size();
+    listing.usages.insert(listing.usages.end(), due.begin(), due.end());
+    return listing;
 }
 
 void markReported(shared_rates &state, const std::vector<workspace_usage> &usages, time_point now)
 {
     for (const auto &usage : usages) {
-        if (const auto found = state.buckets.find(usage.workspace); found != state.buckets.end()) {
-            found->second.reportedAt = now;
+        const auto found = state.buckets.find(usage.workspace);
+        if (found == state.buckets.end()) {
+            continue;
         }
+        auto &bucket = found->second;
+        bucket.reportsOfAdmitted = usage.admitted == bucket.reportedAdmitted ? bucket.reportsOfAdmitted + 1 : 1;
+        bucket.reportedAdmitted = usage.admitted;
+        bucket.reportedDemand = usage.demand;
+        bucket.reportedAt = now;
     }
 }
 
@@ -416,6 +493,9 @@
     }
     auto &bucket = found->second;
     ++bucket.requestsSinceTick;
+    if (now - state.lastTick > state.options.staleReportAge) {
+        return {.admitted = false, .mayWait = true, .lacksHeadroom = false, .retryAfter = internal::timeUntilToken(bucket)};
+    }
     internal::refill(bucket, now);
     const bool hasAllowance{bucket.allowance >= 1.0 && bucket.level > 0.0};
     const bool isBelowRate{bucket.fleetDemand < bucket.rate};
--- a/src/ragwortpin/rates/shared_rates.h
+++ b/src/ragwortpin/rates/shared_rates.h
@@ -18,11 +18,17 @@
 /** Parameters of the shared buckets. All nodes of a fleet must use the same values. */
 struct shared_rate_options
 {
-    /** Age of a peer's last report up to which the report is taken as current; above it, the peer's admissions are estimated. */
+    /** Age up to which a peer's report of a workspace is taken as current; above it, the peer's admissions are estimated. */
     duration freshReportAge{milliseconds{350}};
-    /** Age of a peer's last report above which its share of the tokens is reserved, since it may spend them without being seen. */
+    /**
+     * Age of a peer's last report above which its share of the tokens is reserved, since it may spend them without being seen. A node
+     * whose own last tick is older, for example after it was suspended, admits no request until the next one.
+     */
     duration staleReportAge{milliseconds{600}};
-    /** Age of a peer's last report above which the peer is removed. A node that is cut off stops accepting keys well before. */
+    /**
+     * Age of a peer's last report above which the peer is removed, unless it is a member. A node that is cut off stops accepting keys
+     * well before.
+     */
     duration peerExpiry{seconds{12}};
     /** Time constant of the exponential average of the demand. */
     duration demandTimeConstant{seconds{1}};
@@ -52,11 +58,10 @@
      * division at once.
      */
     duration shareTimeConstant{seconds{8}};
-    /**
-     * Time for which a workspace that is absent from a peer's reports keeps its last figures. Where not all workspaces fit into a
-     * report, they are reported in turn.
-     */
+    /** Time for which a workspace that is absent from a peer's reports keeps its last demand. */
     duration unlistedTimeout{seconds{2}};
+    /** Interval at which an active workspace is reported although no request of it was admitted. Below `unlistedTimeout`. */
+    duration listingInterval{seconds{1}};
 
     bool operator==(const shared_rate_options &) const = default;
 };
@@ -74,15 +79,20 @@
     bool operator==(const workspace_usage &) const = default;
 };
 
-/** Requests of every recently active workspace at one node. */
+/** Requests of the workspaces at one node. */
 struct usage_report
 {
     std::string instance;
     /** Differs between two processes of the same instance. */
     std::uint64_t incarnation{0};
-    /** Grows with each report of an incarnation. */
+    /** Grows by one with each report of an incarnation. */
     std::uint64_t sequence{0};
     std::vector<workspace_usage> usages;
+    /**
+     * Whether the usages contain every workspace whose admitted requests changed since the report before the last one. The counts of
+     * all others are those reported before.
+     */
+    bool isComplete{false};
 
     bool operator==(const usage_report &) const = default;
 };
@@ -99,6 +109,9 @@
     bool operator==(const unreported_interval &) const = default;
 };
 
+/** Number of consecutive reports that include a changed usage, so that the loss of one report does not lose the change. */
+inline constexpr unsigned ReportsOfChange{2};
+
 /** One node's copy of the token bucket of a workspace. */
 struct shared_bucket
 {
@@ -129,6 +142,10 @@
     double unreportedLimit{0.0};
     /** Time of the last report to peers that included the workspace. */
     time_point reportedAt{};
+    /** Admitted requests and demand in that report, and the number of consecutive reports that included this number of requests. */
+    std::uint64_t reportedAdmitted{0};
+    double reportedDemand{0.0};
+    unsigned reportsOfAdmitted{ReportsOfChange};
 
     bool operator==(const shared_bucket &) const = default;
 };
@@ -145,6 +162,8 @@
     double estimatedAdmitted{0.0};
     /** Time of the last report that included the workspace. */
     time_point listedAt{};
+    /** Time of the last report from which the number of admitted requests is known, whether it included the workspace or not. */
+    time_point knownAt{};
 
     bool operator==(const peer_usage &) const = default;
 };
@@ -154,10 +173,13 @@
 {
     std::uint64_t incarnation{0};
     std::uint64_t sequence{0};
-    /** Time of the last report; before the first one, the time at which the peer was added from the list of members. */
+    /** Time of the last report; before the first one, the time at which the peer was last in the list of members. */
     time_point lastReportAt{};
-    /** Whether the peer is listed as a member but has not sent a report yet. */
+    time_point firstReportAt{};
+    /** Whether the peer was listed as a member and has not sent a report yet. */
     bool awaitsFirstReport{false};
+    /** Whether the peer is in the current list of members. */
+    bool isMember{false};
     /** Whether there was no report for longer than `staleReportAge`, so that the peer's part of the tokens is reserved. */
     bool isStale{false};
     std::unordered_map<std::uint32_t, peer_usage> usages;
@@ -196,7 +218,7 @@
     bool operator==(const rate_decision &) const = default;
 };
 
-/** Returns the id of a workspace in reports, a hash of its name. */
+/** Returns the id of a workspace in reports, a hash of its name that is never 0. */
 [[nodiscard]] std::uint32_t workspaceId(std::string_view name) noexcept;
 
 /** Creates a state without any limits. */
@@ -209,10 +231,10 @@
 void applyLimits(shared_rates &state, const std::vector<workspace> &workspaces, time_point now);
 
 /**
- * Reserves a part of the tokens for peers that are listed as members and have not sent a report yet. Only has an effect within
- * `peerExpiry` after the start: without it, a node that just started would use the whole rate itself until the first reports arrive.
+ * Sets the list of members. A part of the tokens is reserved for each member without a current report: a node that does not hear of
+ * others, for example because it just started, would otherwise use their parts of the rate itself.
  */
-void reserveForPeers(shared_rates &state, const std::vector<std::string> &names, time_point now);
+void setMembers(shared_rates &state, const std::vector<std::string> &names, time_point now);
 
 /** Applies a peer's report. Reports that are not newer than the last one of the same incarnation are ignored. */
 void applyReport(shared_rates &state, const usage_report &report, time_point now);
@@ -221,13 +243,24 @@
  */
 void updateAllowances(shared_rates &state, time_point now);
 
+/** Usages of this node for its next report. */
+struct usage_listing
+{
+    std::vector<workspace_usage> usages;
+    /** Number of usages, at the front, whose admitted requests changed. The report is complete if it includes all of them. */
+    std::size_t changed{0};
+
+    bool operator==(const usage_listing &) const = default;
+};
+
 /**
- * Returns this node's usages for its report, without workspaces that were inactive for some seconds. The ones that were not reported
- * for the longest time come first, so that every workspace is reported in turn if not all fit into one report.
+ * Returns this node's usages for its next report: first the changed ones, then those of active workspaces whose demand changed or that
+ * were not reported for `listingInterval`. Within both groups, the ones that were not reported for the longest time come first, so that
+ * every workspace is reported in turn if not all fit into one report.
  */
-[[nodiscard]] std::vector<workspace_usage> ownUsages(const shared_rates &state);
+[[nodiscard]] usage_listing ownUsages(const shared_rates &state, time_point now);
 
-/** Records that the workspaces of these usages were included in a report. */
+/** Records that these usages were included in a report. */
 void markReported(shared_rates &state, const std::vector<workspace_usage> &usages, time_point now);
 
 /** Returns the number of peers whose reports are not stale; used in logs. */
--- a/tests/digest/digest_test.cpp
+++ b/tests/digest/digest_test.cpp
@@ -6,7 +6,9 @@
 #include <rapidcheck/catch.h>
 
 #include <algorithm>
+#include <iterator>
 #include <map>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -21,6 +23,8 @@
 struct exchange_fleet
 {
     membership_view members;
+    /** Members that a node knows of, where these are not all. */
+    std::map<std::string, membership_view> partialViews;
     std::map<std::string, digest_state> states;
     std::map<std::string, std::uint64_t> sequences;
     std::set<std::string> dead;
@@ -53,19 +57,42 @@
             node_digest own;
             own.availabilityZone = state.availabilityZone;
             own.usage = {name, 1, ++sequences[name], {}};
-            for (const auto &output : tickDigests(state, own, members, now)) {
-                deliver(name, output);
+            for (const auto &output : tickDigests(state, own, viewOf(name), now)) {
+                for (const auto &recipient : output.recipients) {
+                    for (const auto &payload : output.payloads) {
+                        deliver(name, recipient, payload);
+                    }
+                }
             }
         }
     }
 
-    void deliver(const std::string &from, const digest_output &output)
+    void deliver(const std::string &from, const instance_record &to, const std::string &payload)
     {
         ++messages;
-        betweenZones += states.at(from).availabilityZone != output.to.availabilityZone ? 1 : 0;
-        CHECK(output.payload.size() <= MaxDatagramPayloadBytes);
-        if (!dead.contains(output.to.name)) {
-            REQUIRE(receiveDigests(states.at(output.to.name), from, members, output.payload, now));
+        betweenZones += states.at(from).availabilityZone != to.availabilityZone ? 1 : 0;
+        CHECK(payload.size() <= MaxDatagramPayloadBytes);
+        if (!dead.contains(to.name)) {
+            REQUIRE(receiveDigests(states.at(to.name), from, viewOf(to.name), payload, now));
+        }
+    }
+
+    [[nodiscard]] const membership_view &viewOf(const std::string &name) const
+    {
+        const auto found = partialViews.find(name);
+        return found == partialViews.end() ? members : found->second;
+    }
+
+    /** Leaves each node with a random part of the members and itself. */
+    void forgetMembers(std::mt19937_64 &random, double knownFraction)
+    {
+        std::bernoulli_distribution isKnown{knownFraction};
+        for (const auto &[name, state] : states) {
+            auto &view = partialViews[name];
+            view.instances.clear();
+            std::copy_if(members.instances.begin(), members.instances.end(), std::back_inserter(view.instances), [&](const auto &record) {
+                return record.name == name || isKnown(random);
+            });
         }
     }
 
@@ -140,6 +167,43 @@
     CHECK(fleet.hasRecentDigests(4));
 }
 
+TEST_CASE("all digests arrive two seconds after the nodes know of each other, whatever they knew before")
+{
+    struct start_case
+    {
+        std::string name;
+        int zones;
+        int nodesPerZone;
+        /** Part of the fleet that a node knows of at first, and rounds until it knows of all. */
+        double knownFraction;
+        int rounds;
+    };
+    const std::vector<start_case> cases{
+        {"few known, 6 zones of 18", 6, 18, 0.1, 8},
+        {"half known, 6 zones of 18", 6, 18, 0.5, 8},
+        {"few known for long, 6 zones of 18", 6, 18, 0.1, 40},
+        {"few known, 4 zones of 60", 4, 60, 0.05, 12},
+        {"few known, 3 zones of 5", 3, 5, 0.2, 8},
+    };
+    constexpr int MaxRounds{8};
+    for (const auto &entry : cases) {
+        for (const std::uint64_t seed : {1U, 2U, 3U, 4U}) {
+            CAPTURE(entry.name, seed);
+            std::mt19937_64 random{seed};
+            exchange_fleet fleet{entry.zones, entry.nodesPerZone};
+            for (int count{0}; count < entry.rounds; ++count) {
+                fleet.forgetMembers(random, entry.knownFraction);
+                fleet.round();
+            }
+            fleet.partialViews.clear();
+            for (int count{0}; count < MaxRounds; ++count) {
+                fleet.round();
+            }
+            CHECK(fleet.hasRecentDigests(4));
+        }
+    }
+}
+
 TEST_CASE("digests are split over datagrams and decode unchanged")
 {
     std::vector<node_digest> digests;
--- a/tests/peers/control_duty_test.cpp
+++ b/tests/peers/control_duty_test.cpp
@@ -227,7 +227,7 @@
     }));
 
     REQUIRE(waitUntil([&] {
-        first.duty().send(third.gossipAddress(), datagram_kind::Loans, "loan");
+        first.duty().send({third.gossipAddress()}, datagram_kind::Loans, {"loan"});
         return third.receivedLoans() > 0;
     }));
     REQUIRE(third.duty().counters().datagramsRefused == 0);
--- a/tests/rates/shared_rates_test.cpp
+++ b/tests/rates/shared_rates_test.cpp
@@ -46,6 +46,7 @@
     int partition{0};
     time_point lastStoreContact{};
     time_point downUntil{};
+    time_point suspendedUntil{};
 };
 
 /** Simulates nodes that share one workspace, with delayed reports, network partitions and node failures. */
@@ -76,7 +77,7 @@
                 others.push_back(nameOf(other));
             }
         }
-        reserveForPeers(node.rates, others, m_now);
+        setMembers(node.rates, others, m_now);
     }
 
     void kill(std::size_t index, duration downTime)
@@ -117,6 +118,26 @@
         return worst;
     }
 
+    /** Sets the number of reports over which a node spreads its workspaces: this one is listed in every n-th report only. */
+    void listInEveryNthReport(std::uint64_t reports)
+    {
+        m_reportsPerListing = reports;
+    }
+
+    /** Sets the probability that a report does not arrive at one of its receivers. */
+    void loseReports(double probability)
+    {
+        m_lossProbability = probability;
+    }
+
+    /** Suspends nodes: until they resume, they neither tick nor serve requests, and reports to them wait in their sockets. */
+    void suspend(std::size_t nodes, duration span)
+    {
+        for (std::size_t index{0}; index < nodes; ++index) {
+            m_nodes[index].suspendedUntil = m_now + span;
+        }
+    }
+
     std::size_t admitted{0};
     std::size_t refused{0};
     /** Requests that a single central bucket without delays would have refused. */
@@ -156,6 +177,24 @@
         return m_now >= m_nodes[index].downUntil;
     }
 
+    [[nodiscard]] bool isRunning(std::size_t index) const
+    {
+        return isUp(index) && m_now >= m_nodes[index].suspendedUntil;
+    }
+
+    [[nodiscard]] usage_report makeReport(std::size_t index)
+    {
+        auto &node = m_nodes[index];
+        usage_report report{nameOf(index), node.incarnation, ++node.sequence, {}};
+        auto listing = ownUsages(node.rates, m_now);
+        if ((node.sequence + index) % m_reportsPerListing == 0) {
+            report.usages = std::move(listing.usages);
+        }
+        report.isComplete = report.usages.size() >= listing.changed;
+        markReported(node.rates, report.usages, m_now);
+        return report;
+    }
+
     void updateNode(std::size_t index)
     {
         auto &node = m_nodes[index];
@@ -163,7 +202,7 @@
             node.downUntil = time_point{};
             restart(index);
         }
-        if (isUp(index) && node.partition == 0) {
+        if (isRunning(index) && node.partition == 0) {
             node.lastStoreContact = m_now;
         }
     }
@@ -171,14 +210,15 @@
     void tickAll()
     {
         for (std::size_t index{0}; index < m_nodes.size(); ++index) {
-            if (!isUp(index)) {
+            if (!isRunning(index)) {
                 continue;
             }
             auto &node = m_nodes[index];
             updateAllowances(node.rates, m_now);
-            const usage_report report{nameOf(index), node.incarnation, ++node.sequence, ownUsages(node.rates)};
+            const auto report = makeReport(index);
             for (std::size_t other{0}; other < m_nodes.size(); ++other) {
-                if (other != index && m_nodes[other].partition == node.partition) {
+                const bool isLost{std::bernoulli_distribution{m_lossProbability}(m_random)};
+                if (other != index && m_nodes[other].partition == node.partition && !isLost) {
                     std::uniform_int_distribution<int> delay{2, 600};
                     m_inTransit.push_back({report, other, m_now + milliseconds{delay(m_random)}});
                 }
@@ -190,7 +230,7 @@
     {
         std::deque<report_in_transit> later;
         for (auto &item : m_inTransit) {
-            if (item.deliveredAt > m_now) {
+            if (item.deliveredAt > m_now || m_now < m_nodes[item.to].suspendedUntil) {
                 later.push_back(std::move(item));
             } else if (isUp(item.to)) {
                 applyReport(m_nodes[item.to].rates, item.report, m_now);
@@ -210,7 +250,7 @@
         pending_headroom_requests questions;
         for (unsigned sent{0}; sent < MaxRequests && decision.lacksHeadroom; ++sent) {
             const auto peer = m_random() % m_nodes.size();
-            if (peer == index || !isUp(peer) || m_nodes[peer].partition != m_nodes[index].partition) {
+            if (peer == index || !isRunning(peer) || m_nodes[peer].partition != m_nodes[index].partition) {
                 continue;
             }
             const auto request = requestHeadroom(questions, workspaceId("w"), m_now);
@@ -223,7 +263,7 @@
     /** Sends a request to a node. A request that may wait for the next tick does so once, as at a real node. */
     void sendRequest(std::size_t index, bool canWait)
     {
-        if (!isUp(index) || m_now - m_nodes[index].lastStoreContact > duration{StoreContactLifetime}) {
+        if (!isRunning(index) || m_now - m_nodes[index].lastStoreContact > duration{StoreContactLifetime}) {
             return;
         }
         const auto decision = takeTokenOrBorrow(index);
@@ -244,6 +284,8 @@
     std::vector<time_point> m_admitted;
     std::vector<std::size_t> m_waitingNodes;
     double m_centralBucket{0.0};
+    std::uint64_t m_reportsPerListing{1};
+    double m_lossProbability{0.0};
     time_point m_now{seconds{1000}};
 };
 
@@ -277,6 +319,93 @@
     });
 }
 
+TEST_CASE("a workspace stays within its rate while reports list it in turn with others")
+{
+    struct listing_case
+    {
+        std::string name;
+        std::size_t nodes;
+        double rate;
+        /** Reports of a node for each one that lists the workspace. */
+        std::uint64_t reportsPerListing;
+        /** Demand in a surge, as a multiple of the rate. */
+        double surge;
+        double lossProbability;
+    };
+    const std::vector<listing_case> cases{
+        {"95 nodes, every report", 95, 64.0, 1, 1.8, 0.0},
+        {"95 nodes, every report, large surge", 95, 64.0, 1, 7.0, 0.0},
+        {"95 nodes, every third report", 95, 64.0, 3, 1.8, 0.0},
+        {"95 nodes, every fourth report", 95, 64.0, 4, 1.8, 0.0},
+        {"95 nodes, every fourth report, large surge", 95, 64.0, 4, 5.0, 0.0},
+        {"95 nodes, every fourth report, small rate", 95, 13.0, 4, 2.0, 0.0},
+        {"20 nodes, every fourth report", 20, 90.0, 4, 2.0, 0.0},
+        {"95 nodes, a tenth of the reports lost", 95, 64.0, 1, 1.8, 0.1},
+        {"95 nodes, a third of the reports lost, large surge", 95, 64.0, 1, 5.0, 0.33},
+    };
+    for (const auto &entry : cases) {
+        CAPTURE(entry.name);
+        for (const std::uint64_t seed : {20261204U, 1U, 2U}) {
+            CAPTURE(seed);
+            simulated_fleet fleet{entry.nodes, entry.rate, entry.rate, seed};
+            fleet.listInEveryNthReport(entry.reportsPerListing);
+            fleet.loseReports(entry.lossProbability);
+            fleet.run(seconds{8}, 0.6 * entry.rate);
+            fleet.run(seconds{10}, entry.surge * entry.rate);
+            fleet.run(seconds{3}, 0.6 * entry.rate);
+            fleet.run(seconds{5}, entry.surge * entry.rate);
+            CHECK(fleet.worstWindowRatio() <= 1.0);
+        }
+    }
+}
+
+TEST_CASE("a workspace stays within its rate while nodes are suspended and resume")
+{
+    struct suspension_case
+    {
+        std::string name;
+        std::size_t nodes;
+        std::size_t suspended;
+        duration span;
+    };
+    const std::vector<suspension_case> cases{
+        {"one of four for 2 s", 4, 1, seconds{2}},
+        {"half of sixteen for 3 s", 16, 8, seconds{3}},
+        {"half of sixteen for 6 s", 16, 8, seconds{6}},
+        {"all of sixteen for 3 s", 16, 16, seconds{3}},
+    };
+    for (const auto &entry : cases) {
+        CAPTURE(entry.name);
+        for (const std::uint64_t seed : {20261204U, 1U, 2U}) {
+            CAPTURE(seed);
+            simulated_fleet fleet{entry.nodes, 60.0, 60.0, seed};
+            fleet.run(seconds{8}, 36.0);
+            for (int round{0}; round < 3; ++round) {
+                fleet.suspend(entry.suspended, entry.span);
+                fleet.run(entry.span + seconds{3}, 240.0);
+            }
+            CHECK(fleet.worstWindowRatio() <= 1.0);
+        }
+    }
+}
+
+TEST_CASE("an allowance from before a suspension is not spent after it")
+{
+    time_point now{seconds{100}};
+    auto rates = makeSharedRates({}, now);
+    applyLimits(rates, {{.name = "w", .rate = 10.0, .burst = 100.0}}, now);
+    for (int tick{0}; tick < 8; ++tick) {
+        now += TickInterval;
+        updateAllowances(rates, now);
+    }
+    CHECK(takeToken(rates, "w", now + milliseconds{100}).admitted);
+    const auto afterSuspension = takeToken(rates, "w", now + seconds{4});
+    CHECK_FALSE(afterSuspension.admitted);
+    CHECK(afterSuspension.mayWait);
+    updateAllowances(rates, now + seconds{4});
+    CHECK(takeToken(rates, "w", now + seconds{4}).admitted);
+}
+
 TEST_CASE("a workspace within its rate is rarely refused, for any distribution of its requests over the nodes")
 {
     struct demand_case
@@ -319,6 +448,74 @@
     CHECK(fleet.worstWindowRatio() <= 1.0);
 }
 
+TEST_CASE("a part of the tokens is reserved for members without a current report, and for no others")
+{
+    struct member_case
+    {
+        std::string name;
+        /** Members at 5 s after the start, long after which nothing was heard of them. */
+        std::vector<std::string> members;
+        double maxPart;
+    };
+    const std::vector<member_case> cases{
+        {"no other member", {}, 1.0},
+        {"three silent members", {"a", "b", "c"}, 0.25},
+    };
+    for (const auto &entry : cases) {
+        CAPTURE(entry.name);
+        time_point now{seconds{100}};
+        auto rates = makeSharedRates({}, now);
+        applyLimits(rates, {{.name = "w", .rate = 100.0, .burst = 100.0}}, now);
+        setMembers(rates, {"a"}, now);
+        now += seconds{5};
+        setMembers(rates, entry.members, now);
+        const auto end = now + seconds{30};
+        while (now < end) {
+            now += TickInterval;
+            updateAllowances(rates, now);
+        }
+        const auto &bucket = rates.buckets.at(workspaceId("w"));
+        CHECK(bucket.allowance <= entry.maxPart * bucket.burst);
+        CHECK(bucket.allowance > 0.0);
+        CHECK(rates.peers.size() == entry.members.size());
+    }
+}
+
+TEST_CASE("requests that peers admitted before a node started are not subtracted when their workspace is first listed")
+{
+    struct late_listing_case
+    {
+        std::string name;
+        /** Reports between the first one and the one that lists the workspace. */
+        std::uint64_t reports;
+        std::uint64_t admitted;
+        double demand;
+        double maxSubtracted;
+    };
+    const std::vector<late_listing_case> cases{
+        {"listed in the first report", 0, 5000, 2.0, 0.0},
+        {"listed one second later, little demand", 4, 5000, 2.0, 3.0},
+        {"listed one second later, one request ever", 4, 1, 0.9, 1.0},
+    };
+    for (const auto &entry : cases) {
+        CAPTURE(entry.name);
+        time_point now{seconds{100}};
+        auto rates = makeSharedRates({}, now);
+        applyLimits(rates, {{.name = "w", .rate = 0.0, .burst = 100.0}}, now);
+        const auto id = workspaceId("w");
+        rates.buckets.at(id).level = 50.0;
+        std::uint64_t sequence{90};
+        for (std::uint64_t report{0}; report < entry.reports; ++report) {
+            applyReport(rates, {"peer", 1, ++sequence, {}, true}, now);
+            now += TickInterval;
+        }
+        applyReport(rates, {"peer", 1, ++sequence, {{id, entry.admitted, entry.demand}}, true}, now);
+        CHECK(rates.buckets.at(id).level >= 50.0 - entry.maxSubtracted);
+        applyReport(rates, {"peer", 1, ++sequence, {{id, entry.admitted + 7, entry.demand}}, true}, now + TickInterval);
+        CHECK(rates.buckets.at(id).level <= 50.0 - 7.0);
+    }
+}
+
 TEST_CASE("late and repeated reports and reports of a restarted peer subtract each request only once")
 {
     const time_point start{seconds{1}};
@@ -360,7 +557,7 @@
         }
         updateAllowances(sender, now);
         updateAllowances(receiver, now);
-        auto usages = ownUsages(sender);
+        auto usages = ownUsages(sender, now).usages;
         usages.resize(std::min(usages.size(), ReportCapacity));
         markReported(sender, usages, now);
         applyReport(receiver, {"sender", 1, ++sequence, usages}, now);
