Keep a process alive after an unexpected exception, and check the proof when a key is used

Cause: an exception that left a handler of any event loop ended the process; a timer that threw was never armed again. A request that waited for its token ran although the proof of the configuration had expired meanwhile, for example in a suspension. Ruled out: the decoders. 4,000 changed messages for each message of the platform and 20,000 random trees for each of 12 binary decoders let no exception out. Change: loops, timers, mailboxes, datagrams and threads of duties log an exception (handler_failed) and go on; a failed read of the head is an error to its caller. The proof is checked again once the token is there, and the token returned. Before: the third case of the proof's test answers 200. After: the tests pass.

--- a/src/ragwortpin/callers/caller_gateway.cpp
+++ b/src/ragwortpin/callers/caller_gateway.cpp
@@ -206,6 +206,11 @@
             refused.reason = token.reason;
             co_return refused;
         }
+        // The process may have been suspended while the request waited for its token.
+        if (isProofExpired()) {
+            m_services.returnToken(workspace);
+            co_return refuse(refusal_kind::NotReady, NotReadyRetryAfter);
+        }
     }
     if (!isTargetCall && m_services.admit && !m_services.admit(call.context.route, call.context.rank)) {
         if (!workspace.empty()) {
@@ -234,8 +239,13 @@
     if (refusal) {
         return *age > MaxProofAgeForUnknownNames ? refusal_kind::NotReady : refusal;
     }
-    const bool expired{!identity.workspace.empty() && *age > m_services.maxProofAge};
-    return expired ? std::optional{refusal_kind::NotReady} : std::nullopt;
+    return !identity.workspace.empty() && isProofExpired() ? std::optional{refusal_kind::NotReady} : std::nullopt;
+}
+
+bool caller_gateway::isProofExpired() const
+{
+    const auto age = m_services.proofAge ? m_services.proofAge() : std::nullopt;
+    return age && *age > m_services.maxProofAge;
 }
 
 call_answer caller_gateway::refuse(refusal_kind kind, duration retryAfter)
--- a/src/ragwortpin/callers/caller_gateway.h
+++ b/src/ragwortpin/callers/caller_gateway.h
@@ -74,7 +74,7 @@
     /** Returns the reason for the last refusal of admit(), for the log. */
     std::function<std::string(std::string_view route, unsigned rank)> describeRefusal{};
     /** Returns the token of a request that was refused for another reason than the rate limit. */
-    std::function<void(const std::string &workspace)> returnToken{};
+    std::function<void(const std::string &workspace)> returnToken{[](const std::string &) {}};
     /** Returns whether requests from outside arrive too late before the process ends to be finished. Calls of the target still run. */
     std::function<bool()> isShuttingDown{};
     /** Called for each call that this node's own target makes. Returns the rank of the run that makes the call, if known. */
@@ -107,6 +107,8 @@
                    duration elapsed) const;
     [[nodiscard]] call_answer refuse(refusal_kind kind, duration retryAfter = duration::zero());
     [[nodiscard]] std::optional<refusal_kind> applyProofAge(const authentication &identity, std::optional<refusal_kind> refusal) const;
+    /** Returns whether the proof of the configuration is too old to accept API keys. */
+    [[nodiscard]] bool isProofExpired() const;
     [[nodiscard]] trace_context startTrace(const http_request &request, std::string &parentSpanId);
 
     caller_gateway_dependencies m_services;
--- a/src/ragwortpin/node/claims_duty.cpp
+++ b/src/ragwortpin/node/claims_duty.cpp
@@ -44,7 +44,7 @@
 {
     schedulePruning();
     m_thread = std::thread{[this] {
-        m_context.run();
+        runGuardedLoop("claims", m_context);
     }};
 }
 
--- a/src/ragwortpin/node/daemon.cpp
+++ b/src/ragwortpin/node/daemon.cpp
@@ -1,6 +1,7 @@
 #include "ragwortpin/node/daemon.h"
 
 #include "ragwortpin/identity/digest.h"
+#include "ragwortpin/runtime/guard.h"
 #include "ragwortpin/runtime/logging.h"
 
 #include <getopt.h>
@@ -200,7 +201,9 @@
         for (;;) {
             sigwait(&signals, &received);
             if (received == SIGHUP) {
-                reload(process, path, extension);
+                runGuarded("reload", [&] {
+                    reload(process, path, extension);
+                });
             } else {
                 process.requestShutdown();
             }
--- a/src/ragwortpin/node/node.cpp
+++ b/src/ragwortpin/node/node.cpp
@@ -9,6 +9,7 @@
 #include "ragwortpin/node/watch_duty.h"
 #include "ragwortpin/operators/admin_server.h"
 #include "ragwortpin/peers/control_duty.h"
+#include "ragwortpin/runtime/guard.h"
 #include "ragwortpin/store/client.h"
 #include "ragwortpin/telemetry/span_exporter.h"
 
@@ -101,11 +102,11 @@
         }
         m_claims.start();
         m_adminThread = std::thread{[this] {
-            m_adminContext.run();
+            runGuardedLoop("operators", m_adminContext);
         }};
         m_telemetryThread = std::thread{[this] {
             scheduleSpanFlush();
-            m_telemetryContext.run();
+            runGuardedLoop("telemetry", m_telemetryContext);
         }};
         m_dataThread = std::thread{[this] {
             m_data.run();
@@ -422,10 +423,10 @@
         m_spanTimer.expires_after(SpanFlushInterval);
         m_spanTimer.async_wait([this](boost::system::error_code error) {
             if (!error) {
+                scheduleSpanFlush();
                 if (m_exporter) {
                     m_exporter->flush();
                 }
-                scheduleSpanFlush();
             }
         });
     }
--- a/src/ragwortpin/node/store_duty.cpp
+++ b/src/ragwortpin/node/store_duty.cpp
@@ -2,6 +2,8 @@
 
 #include "ragwortpin/config/publication.h"
 #include "ragwortpin/config/serialise.h"
+#include "ragwortpin/runtime/guard.h"
+#include "ragwortpin/store/error.h"
 
 #include <utility>
 
@@ -47,7 +49,13 @@
                   HeadReadCapacity,
                   [this](read_head_request event) {
                       const auto askedAt = monotonicNow();
-                      auto reply = m_reader(m_call, event.revisionInForce);
+                      head_reply reply;
+                      const bool isRead{runGuarded("head reader", [&] {
+                          reply = m_reader(m_call, event.revisionInForce);
+                      })};
+                      if (!isRead) {
+                          reply = {.error = store_errc::MalformedResponse, .revision = 0, .content = std::nullopt};
+                      }
                       reply.askedAt = askedAt;
                       m_outputs.handleHeadReply(std::move(reply));
                   }}
@@ -78,7 +86,7 @@
         scheduleDiscovery(duration::zero());
     }
     m_thread = std::thread{[this] {
-        m_context.run();
+        runGuardedLoop("store", m_context);
     }};
 }
 
@@ -107,9 +115,11 @@
 void store_duty::runDiscovery()
 {
     constexpr unsigned InitialRuns{3};
-    const auto result = discover(m_call, m_settings.discovery, m_random);
-    m_outputs.handleDiscovery(result);
-    m_successfulDiscoveries += result.error ? 0 : 1;
+    runGuarded("discovery", [this] {
+        const auto result = discover(m_call, m_settings.discovery, m_random);
+        m_outputs.handleDiscovery(result);
+        m_successfulDiscoveries += result.error ? 0 : 1;
+    });
     const auto interval = m_successfulDiscoveries < InitialRuns ? m_settings.initialDiscoveryInterval : m_settings.discoveryInterval;
     std::uniform_real_distribution<double> jitter{0.7, 1.3};
     scheduleDiscovery(fromSeconds(toSeconds(interval) * jitter(m_random)));
--- a/src/ragwortpin/node/watch_duty.cpp
+++ b/src/ragwortpin/node/watch_duty.cpp
@@ -1,5 +1,7 @@
 #include "ragwortpin/node/watch_duty.h"
 
+#include "ragwortpin/runtime/guard.h"
+
 #include <algorithm>
 #include <condition_variable>
 #include <mutex>
@@ -28,7 +30,11 @@
                 static_cast<void>(waitUnlessStopped(settings.retryDelay));
                 continue;
             }
-            if (!watchOnce()) {
+            bool isWatched{false};
+            runGuarded("watch", [this, &isWatched] {
+                isWatched = watchOnce();
+            });
+            if (!isWatched) {
                 static_cast<void>(waitUnlessStopped(settings.retryDelay));
             }
         }
--- a/src/ragwortpin/peers/control_loop.cpp
+++ b/src/ragwortpin/peers/control_loop.cpp
@@ -1,6 +1,7 @@
 #include "ragwortpin/peers/control_loop.h"
 
 #include "ragwortpin/membership/message_codec.h"
+#include "ragwortpin/runtime/guard.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
@@ -144,7 +145,7 @@
 void control_loop::run()
 {
     const auto work = asio::make_work_guard(m_context);
-    m_context.run();
+    runGuardedLoop("control", m_context);
 }
 
 void control_loop::armTimer()
@@ -158,7 +159,9 @@
         if (error) {
             return;
         }
-        m_timers.advance(monotonicNow());
+        runGuarded("control timers", [this] {
+            m_timers.advance(monotonicNow());
+        });
         armTimer();
     });
 }
@@ -224,7 +227,9 @@
 void control_loop::drainCommands()
 {
     while (auto next = m_commands.tryPop()) {
-        execute(std::move(*next));
+        runGuarded("control command", [this, &next] {
+            execute(std::move(*next));
+        });
     }
 }
 
--- a/src/ragwortpin/peers/udp_channel.cpp
+++ b/src/ragwortpin/peers/udp_channel.cpp
@@ -2,6 +2,7 @@
 
 #include "ragwortpin/core/time.h"
 #include "ragwortpin/peers/error.h"
+#include "ragwortpin/runtime/guard.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
@@ -82,7 +83,9 @@
             return;
         }
         if (!error) {
-            handle(size);
+            runGuarded("datagram", [this, size] {
+                handle(size);
+            });
         }
         receiveNext();
     });
--- a/src/ragwortpin/runtime/mailbox.h
+++ b/src/ragwortpin/runtime/mailbox.h
@@ -2,6 +2,7 @@
 #define RAGWORTPIN_RUNTIME_MAILBOX_H
 
 #include "ragwortpin/runtime/bounded_ring.h"
+#include "ragwortpin/runtime/guard.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -55,7 +56,9 @@
     {
         m_isDrainPosted.store(false);
         while (auto value = m_ring.tryPop()) {
-            m_receiver(std::move(*value));
+            runGuarded("mailbox", [this, &value] {
+                m_receiver(std::move(*value));
+            });
         }
     }
 
--- /dev/null
+++ b/tests/callers/caller_gateway_test.cpp
@@ -0,0 +1,136 @@
+#include "ragwortpin/callers/caller_gateway.h"
+
+#include "ragwortpin/dispatch/directory.h"
+#include "ragwortpin/identity/digest.h"
+
+#include <boost/asio/co_spawn.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace ragwortpin;
+
+namespace {
+
+constexpr seconds MaxProofAge{4};
+
+configuration oneRoute()
+{
+    configuration value;
+    value.revision = 1;
+    value.importances.push_back({.name = "normal"});
+    value.services.push_back({.name = "clips"});
+    value.workspaces.push_back({.name = "large", .rate = 10.0, .burst = 10.0});
+    value.keys.push_back({.name = "k", .workspace = "large", .sha256 = sha256Hex("secret")});
+    value.routes.push_back({.name = "read", .method = "", .path = "/read", .service = "clips", .importance = "normal"});
+    return value;
+}
+
+/** Gateway whose own node runs the calls, with a proof and tokens that the test controls. */
+struct gateway_fixture
+{
+    boost::asio::io_context context{1};
+    metrics_registry metrics;
+    snapshot<configuration_index> configuration;
+    http_client_pool client{context, {}};
+    instance_directory directory{"zone"};
+    std::size_t runs{0};
+    std::size_t returnedTokens{0};
+    duration proofAge{0};
+    /** Age of the proof once the request has its token. */
+    duration proofAgeAfterToken{0};
+    dispatcher calls{{"node", {{"secret"}}},
+                     client,
+                     directory,
+                     metrics,
+                     [this](inbound_call) -> boost::asio::awaitable<call_answer> {
+                         ++runs;
+                         call_answer answer;
+                         answer.result = outcome::Ran;
+                         answer.response = makeResponse(http::status::ok, "text/plain", "fine");
+                         co_return answer;
+                     },
+                     1};
+    caller_gateway gateway{dependencies(), metrics, 0.0, 1};
+
+    gateway_fixture()
+    {
+        auto value = oneRoute();
+        directory.updateConfiguration(value);
+        membership_view view;
+        view.instances.push_back(
+            {.name = "node", .availabilityZone = "zone", .service = "clips", .state = instance_state::Ready, .slots = 4});
+        directory.updateMembers(view, monotonicNow());
+        configuration.store(buildIndex(std::move(value)));
+    }
+
+    caller_gateway_dependencies dependencies()
+    {
+        return {.configuration = configuration,
+                .calls = calls,
+                .takeToken = [this](std::string, std::shared_ptr<call_control>) -> boost::asio::awaitable<rate_limit_result> {
+                    proofAge = proofAgeAfterToken;
+                    co_return rate_limit_result{.admitted = true};
+                },
+                .runOnce = {},
+                .spans = [](const span &) {},
+                .headers = {},
+                .proofAge =
+                    [this] {
+                        return std::optional{proofAge};
+                    },
+                .maxProofAge = MaxProofAge,
+                .returnToken =
+                    [this](const std::string &) {
+                        ++returnedTokens;
+                    }};
+    }
+
+    unsigned statusOfRequest()
+    {
+        http_request request{http::verb::get, "/read", 11};
+        request.set(http::field::host, "a");
+        request.set(http::field::authorization, "Bearer secret");
+        unsigned status{0};
+        boost::asio::co_spawn(context,
+                              gateway.serve(std::move(request), std::make_shared<call_control>()),
+                              [&status](const std::exception_ptr &, const http_response &response) {
+                                  status = response.result_int();
+                              });
+        context.restart();
+        context.run();
+        return status;
+    }
+};
+
+} // namespace
+
+TEST_CASE("a key is accepted only while the proof of the configuration holds, also when the request waited for its token")
+{
+    struct proof_case
+    {
+        std::string name;
+        duration before;
+        duration afterToken;
+        unsigned status;
+        std::size_t runs;
+        std::size_t returnedTokens;
+    };
+    const std::vector<proof_case> cases{
+        {"current proof", seconds{1}, seconds{1}, 200, 1, 0},
+        {"expired proof", seconds{5}, seconds{5}, 503, 0, 0},
+        {"proof that expires while the process is suspended", seconds{1}, seconds{6}, 503, 0, 1},
+    };
+    for (const auto &entry : cases) {
+        CAPTURE(entry.name);
+        gateway_fixture fixture;
+        fixture.proofAge = entry.before;
+        fixture.proofAgeAfterToken = entry.afterToken;
+        CHECK(fixture.statusOfRequest() == entry.status);
+        CHECK(fixture.runs == entry.runs);
+        CHECK(fixture.returnedTokens == entry.returnedTokens);
+    }
+}
