Receive bursts of datagrams in one pass, and send profiles every fourth round

Ruled out: link-time optimisation (1.27 against 1.30 s of a node at 1,500 calls/s). Change: waiting datagrams, up to 128, are handled at once. A digest has profiles in every fourth round; receivers keep the last ones of the same target.

--- a/src/ragwortpin/digest/digest.cpp
+++ b/src/ragwortpin/digest/digest.cpp
@@ -216,7 +216,9 @@
         if (isOutdated) {
             continue;
         }
-        entry = {.digest = digest, .receivedAt = now, .isForwarded = false, .isFromOtherZone = isForeign};
+        const bool isSameTarget{entry.digest.usage.incarnation == digest.usage.incarnation && entry.digest.service == digest.service};
+        auto profiles = digest.profiles.empty() && isSameTarget ? std::move(entry.profiles) : digest.profiles;
+        entry = {.digest = digest, .profiles = std::move(profiles), .receivedAt = now, .isForwarded = false, .isFromOtherZone = isForeign};
         accepted.push_back(std::move(digest));
     }
     return accepted;
--- a/src/ragwortpin/digest/digest.h
+++ b/src/ragwortpin/digest/digest.h
@@ -28,7 +28,7 @@
     std::uint32_t limit{0};
     std::uint32_t running{0};
     std::uint32_t queued{0};
-    /** Cost of the runs of each route at the target, and the calls that these runs make. */
+    /** Cost of the runs of each route at the target, and the calls that these runs make. Empty in most rounds; see `profileRounds`. */
     std::vector<route_profile> profiles;
     /** Rates of requests that arrive at the node from outside the fleet. */
     std::vector<route_demand> demands;
@@ -48,6 +48,8 @@
     duration relayFailbackDelay{seconds{5}};
     /** Age above which a digest is discarded. */
     duration maxAge{seconds{2}};
+    /** Number of rounds after which a node includes its profiles again, since they change slowly. */
+    std::uint64_t profileRounds{4};
 
     bool operator==(const digest_options &) const = default;
 };
@@ -56,6 +58,8 @@
 struct digest_entry
 {
     node_digest digest;
+    /** Profiles of the last digest of the same target that had any. */
+    std::vector<route_profile> profiles;
     time_point receivedAt{};
     /** Whether the digest was passed on since its reception. */
     bool isForwarded{false};
--- a/src/ragwortpin/node/fleet_driver.cpp
+++ b/src/ragwortpin/node/fleet_driver.cpp
@@ -23,6 +23,17 @@
 /** Headroom requests that are sent to peers for one request before it is refused. */
 constexpr unsigned MaxHeadroomRequests{3};
 
+/** Returns the profiles with the most runs, as many as a digest has at most. */
+std::vector<route_profile> mostUsedProfiles(const call_graph &graph)
+{
+    auto profiles = profilesOf(graph);
+    std::sort(profiles.begin(), profiles.end(), [](const route_profile &left, const route_profile &right) {
+        return left.runs > right.runs;
+    });
+    profiles.resize(std::min(profiles.size(), MaxProfiles));
+    return profiles;
+}
+
 std::uint64_t randomIncarnation()
 {
     std::random_device device;
@@ -136,21 +147,21 @@
         return;
     }
     fleet_load fleetLoad;
-    const auto add = [&fleetLoad](const node_digest &digest) {
+    const auto add = [&fleetLoad](const node_digest &digest, const std::vector<route_profile> &profiles) {
         if (!digest.service.empty()) {
             auto &load = fleetLoad.services[digest.service];
             load.limit += digest.limit;
             load.running += digest.running;
             load.queued += digest.queued;
         }
-        for (const auto &profile : digest.profiles) {
+        for (const auto &profile : profiles) {
             fleetLoad.profiles.push_back({digest.service, profile});
         }
         fleetLoad.demands.insert(fleetLoad.demands.end(), digest.demands.begin(), digest.demands.end());
     };
-    add(own);
+    add(own, m_ownProfiles);
     for (const auto &[name, entry] : m_digests.entries) {
-        add(entry.digest);
+        add(entry.digest, entry.profiles);
     }
     const auto before = m_plan.plan;
     updatePlan(m_plan, *m_index, fleetLoad);
@@ -317,11 +328,10 @@
         digest.limit = target.limit();
         digest.running = static_cast<std::uint32_t>(admission->running.size());
         digest.queued = target.waiting();
-        digest.profiles = profilesOf(target.callGraph());
-        std::sort(digest.profiles.begin(), digest.profiles.end(), [](const route_profile &left, const route_profile &right) {
-            return left.runs > right.runs;
-        });
-        digest.profiles.resize(std::min(digest.profiles.size(), MaxProfiles));
+    }
+    m_ownProfiles = digest.service.empty() ? std::vector<route_profile>{} : mostUsedProfiles(target.callGraph());
+    if (m_tickCount % m_digests.options.profileRounds == 0) {
+        digest.profiles = m_ownProfiles;
     }
     for (const auto &[key, arrivalRate] : m_arrivals) {
         digest.demands.push_back({key.route, key.rank, arrivalRate.requestsPerSecond});
--- a/src/ragwortpin/node/fleet_driver.h
+++ b/src/ragwortpin/node/fleet_driver.h
@@ -120,6 +120,8 @@
     std::map<admission_plan::key, arrival_rate> m_arrivals;
     plan_state m_plan;
     fleet_load m_fleetLoad;
+    /** Profiles of the own target, also in the rounds whose digest has none. */
+    std::vector<route_profile> m_ownProfiles;
     repeat_limits m_repeatLimits;
     time_point m_lastTick{};
     fleet_driver_outputs m_outputs;
--- a/src/ragwortpin/peers/udp_channel.cpp
+++ b/src/ragwortpin/peers/udp_channel.cpp
@@ -14,6 +14,13 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+/** Maximum number of waiting datagrams that are handled before the event loop runs other handlers. */
+constexpr std::size_t MaxReceiveBatch{128};
+
+} // namespace
+
 udp_channel::udp_channel(asio::io_context &context, datagram_secrets secrets, receiver receive)
     : m_socket{context}
     , m_secrets{std::move(secrets)}
@@ -83,14 +90,36 @@
             return;
         }
         if (!error) {
-            runGuarded("datagram", [this, size] {
-                handle(size);
-            });
+            handleGuarded(size);
+            receiveWaiting();
         }
         receiveNext();
     });
 }
 
+/**
+ * Handles the datagrams that are already waiting, without another pass of the event loop for each: a relay sends those of a whole fleet at
+ * once.
+ */
+void udp_channel::receiveWaiting()
+{
+    for (std::size_t received{1}; received < MaxReceiveBatch; ++received) {
+        boost::system::error_code error;
+        const auto size = m_socket.receive_from(asio::buffer(m_buffer), m_from, 0, error);
+        if (error) {
+            return;
+        }
+        handleGuarded(size);
+    }
+}
+
+void udp_channel::handleGuarded(std::size_t size)
+{
+    runGuarded("datagram", [this, size] {
+        handle(size);
+    });
+}
+
 void udp_channel::handle(std::size_t size)
 {
     ++m_counters.received;
--- a/src/ragwortpin/peers/udp_channel.h
+++ b/src/ragwortpin/peers/udp_channel.h
@@ -59,6 +59,8 @@
 private:
     void sendBytes(const peer_address &to, const std::string &bytes);
     void receiveNext();
+    void receiveWaiting();
+    void handleGuarded(std::size_t size);
     void handle(std::size_t size);
 
     boost::asio::ip::udp::socket m_socket;
--- a/tests/digest/digest_test.cpp
+++ b/tests/digest/digest_test.cpp
@@ -204,6 +204,45 @@
     }
 }
 
+TEST_CASE("the profiles of a target are kept until it sends others or is replaced")
+{
+    struct profile_case
+    {
+        std::string name;
+        std::string service;
+        std::uint64_t incarnation;
+        std::vector<route_profile> profiles;
+        std::size_t expected;
+    };
+    const route_profile profile{.route = 5, .runs = 1.0, .slotTime = 0.1, .calls = {}};
+    const std::vector<profile_case> cases{
+        {"no profiles", "clips", 7, {}, 1},
+        {"other profiles", "clips", 7, {profile, profile}, 2},
+        {"other service", "packages", 7, {}, 0},
+        {"restarted node", "clips", 8, {}, 0},
+    };
+    for (const auto &entry : cases) {
+        CAPTURE(entry.name);
+        auto state = startDigests({}, "self", "zone");
+        const membership_view members;
+        auto digest = sampleDigest("peer");
+        const auto receive = [&] {
+            ++digest.usage.sequence;
+            std::size_t position{0};
+            const auto payload = encodeDigests({&digest}, position);
+            REQUIRE(receiveDigests(state, "peer", members, payload, time_point{seconds{1}}));
+        };
+        receive();
+        CHECK(state.entries.at("peer").profiles.size() == 1);
+        digest.profiles = entry.profiles;
+        digest.service = entry.service;
+        digest.usage.incarnation = entry.incarnation;
+        receive();
+        CHECK(state.entries.at("peer").profiles.size() == entry.expected);
+        CHECK(state.entries.at("peer").digest.profiles == entry.profiles);
+    }
+}
+
 TEST_CASE("digests are split over datagrams and decode unchanged")
 {
     std::vector<node_digest> digests;
--- a/tests/http/client_pool_test.cpp
+++ b/tests/http/client_pool_test.cpp
@@ -312,6 +312,26 @@
     }
 }
 
+TEST_CASE("a server that received a request may be silent until the deadline")
+{
+    boost::asio::io_context context{1};
+    keep_alive_server server{context, {{"", "", "", answerTo("r1")}}};
+    http_client_pool pool{context, {}};
+    exchange_result result;
+    runOn(context, [&]() -> boost::asio::awaitable<void> {
+        exchange_options options;
+        options.unacknowledgedTimeout = keep_alive_server::PauseBetweenParts / 2;
+        options.requestIdField = "X-Request-Id";
+        options.expectedId = "r1";
+        auto request = getRequest();
+        request.set("X-Request-Id", "r1");
+        result = co_await pool.exchange(
+            server.address(), std::move(request), monotonicNow() + Generous, std::make_shared<call_control>(), std::move(options));
+    });
+    CHECK(result.progress == exchange_progress::Answered);
+    CHECK(server.accepted == 1);
+}
+
 TEST_CASE("an endless answer is abandoned at the limits of the client")
 {
     struct endless_case
