Stop delivering queued values once an event loop is stopped

Callers could see: a node that was asked to stop while the store hung did not end, and was killed at the end of its grace time. Cause: a mailbox handles all queued values in one handler. For the store's and the claims' thread each is a blocking call with a time-out of its own, and the end of the process waits for the thread: up to 64 of them. Ruled out: the shutdown itself, which finishes at its time-out whatever the rates hold. Change: a mailbox delivers nothing more when its consumer was stopped.

--- a/src/ragwortpin/runtime/mailbox.h
+++ b/src/ragwortpin/runtime/mailbox.h
@@ -17,7 +17,8 @@
 
 /**
  * Bounded queue from one producer thread to the thread that runs an io_context. Sending wakes the consumer through at most one
- * outstanding post, regardless of the number of queued values. The mailbox must outlive run() of the io_context.
+ * outstanding post, regardless of the number of queued values. Values that are queued when the io_context is stopped are not delivered.
+ * The mailbox must outlive run() of the io_context.
  */
 template<typename Value>
 class mailbox
@@ -55,7 +56,12 @@
     void drain()
     {
         m_isDrainPosted.store(false);
-        while (auto value = m_ring.tryPop()) {
+        // Values left when the consumer stops are dropped: each may be a blocking call, and the process waits for this handler to end.
+        while (!m_consumer.stopped()) {
+            auto value = m_ring.tryPop();
+            if (!value) {
+                return;
+            }
             runGuarded("mailbox", [this, &value] {
                 m_receiver(std::move(*value));
             });
--- a/tests/runtime/guard_test.cpp
+++ b/tests/runtime/guard_test.cpp
@@ -43,6 +43,21 @@
     CHECK(received == std::vector{1, 3, 4});
 }
 
+TEST_CASE("a mailbox delivers no more values once its consumer was stopped")
+{
+    boost::asio::io_context context{1};
+    std::vector<int> received;
+    mailbox<int> box{context, 8, [&](int value) {
+                         received.push_back(value);
+                         context.stop();
+                     }};
+    for (int value{1}; value <= 4; ++value) {
+        REQUIRE(box.trySend(value));
+    }
+    context.run();
+    CHECK(received == std::vector{1});
+}
+
 TEST_CASE("a guarded function reports whether it returned")
 {
     CHECK(runGuarded("test", [] {}));
