Show that one endless answer ends a node, and order the cases of the review

The answer of one worker with trailers that never end is kept whole by the node beside it, which exceeds its memory limit; the requests of other clients that it had passed on are cut.

--- a/review/standins/world.h
+++ b/review/standins/world.h
@@ -106,11 +106,13 @@
     address control;
     unsigned slots{8};
     unsigned queue{16};
+    /** Bytes a second that an answer without end is sent with; 0 if the worker is sound. See `endless` of worker. */
+    std::size_t linkBytes{0};
 };
 
 /**
  * An application worker: PROTOCOL.md, "Workers" and "Service discovery". The last part of the path, `work-MS`, says how long it works
- * on a request.
+ * on a request. A request whose path ends with `endless` gets bytes that are no answer, without end, from a worker that is not sound.
  */
 class worker
 {
@@ -183,6 +185,10 @@
     /** 0 if the connection ended, or the deadline passed, without a whole answer. */
     int status{0};
     bool closed{false};
+    /** Whether the connection served an earlier request. */
+    bool onKept{false};
+    /** Whether the answer leaves the connection open. */
+    bool keeps{true};
     std::string seal;
     std::string body;
 };
@@ -200,6 +206,21 @@
 /** Sends one request on a new connection and waits for its end. */
 outcome send(const address &to, const client_request &request, const std::string &attempt, record &log);
 
+/** A client that keeps one connection open for many requests. Opens another one after the node closed it. */
+class kept_client
+{
+public:
+    explicit kept_client(address to)
+        : m_to{std::move(to)}
+    { }
+
+    outcome send(const client_request &request, const std::string &attempt, record &log);
+
+private:
+    address m_to;
+    std::shared_ptr<connection> m_open;
+};
+
 /** Settings fields of one machine, as DEPLOY.md names them. */
 Json::Value machineFields(const std::string &name,
                           const std::string &zone,
@@ -232,6 +253,8 @@
         return m_status;
     }
     bool waitReady(milliseconds limit);
+    /** Resident memory in bytes; 0 if the process does not run. */
+    std::size_t memory() const;
     void writeSettings();
     void setService(const std::string &service);
 
