--- /dev/null
+++ b/tests/system/platform_fleet.cpp
@@ -0,0 +1,204 @@
+#include "system/platform_fleet.h"
+
+#include "ragwortpin/http/address.h"
+#include "ragwortpin/identity/digest.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <catch2/catch.hpp>
+#include <json/json.h>
+
+#include <sstream>
+#include <stdexcept>
+
+namespace ragwortpin::test {
+
+namespace {
+
+constexpr milliseconds WatchWait{1000};
+
+http_response jsonResponse(http::status status, const Json::Value &value)
+{
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    return makeResponse(status, "application/json", Json::writeString(builder, value));
+}
+
+/** Returns the decoded value of a query parameter; empty if it is missing. */
+std::string queryValue(const std::string &target, const std::string &name)
+{
+    const auto start = target.find(name + '=');
+    if (start == std::string::npos) {
+        return {};
+    }
+    const auto text = target.substr(start + name.size() + 1, target.find('&', start) - start - name.size() - 1);
+    constexpr int HexBase{16};
+    constexpr std::size_t EscapeLength{3};
+    std::string value;
+    for (std::size_t index{0}; index < text.size(); ++index) {
+        const bool isEscape{text[index] == '%' && index + EscapeLength <= text.size()};
+        value.push_back(isEscape ? static_cast<char>(std::stoi(text.substr(index + 1, 2), nullptr, HexBase)) : text[index]);
+        index += isEscape ? 2 : 0;
+    }
+    return value;
+}
+
+Json::Value toJson(const std::string &key, const std::string &value, std::uint64_t revision)
+{
+    Json::Value object;
+    object["key"] = key;
+    object["value"] = base64Encode(value);
+    object["revision"] = static_cast<Json::UInt64>(revision);
+    object["created_rev"] = static_cast<Json::UInt64>(revision);
+    object["lease"] = 0;
+    return object;
+}
+
+} // namespace
+
+threaded_listener::threaded_listener(const endpoint &local, http_handler handler)
+    : m_server{std::make_unique<http_server>(m_context, http_limits{}, std::move(handler), [](refusal_kind) {})}
+{
+    INFO(local.address << ':' << local.port);
+    REQUIRE_FALSE(m_server->listen(local));
+    m_thread = std::thread{[this] {
+        m_context.run();
+    }};
+}
+
+threaded_listener::~threaded_listener()
+{
+    m_context.stop();
+    m_thread.join();
+}
+
+platform_store::platform_store(const endpoint &local)
+    : m_listener{local, [this](http_request request, const std::shared_ptr<call_control> &) {
+                     return serve(std::move(request));
+                 }}
+{ }
+
+void platform_store::put(const std::string &key, const std::string &value)
+{
+    const std::lock_guard lock{m_mutex};
+    m_items[key] = {value, ++m_revision};
+}
+
+boost::asio::awaitable<http_response> platform_store::serve(http_request request)
+{
+    const std::string target{toStd(request.target())};
+    if (target.starts_with("/-/kv-watch")) {
+        boost::asio::steady_timer timer{m_listener.context(), WatchWait};
+        co_await timer.async_wait(boost::asio::use_awaitable);
+        Json::Value answer;
+        answer["events"] = Json::Value{Json::arrayValue};
+        const std::lock_guard lock{m_mutex};
+        answer["at"] = static_cast<Json::UInt64>(m_revision);
+        co_return jsonResponse(http::status::ok, answer);
+    }
+    const std::lock_guard lock{m_mutex};
+    if (target.starts_with("/-/kv-key")) {
+        const auto key = queryValue(target, "key");
+        const auto found = m_items.find(key);
+        co_return found == m_items.end() ? jsonResponse(http::status::not_found, Json::Value{Json::objectValue})
+                                         : jsonResponse(http::status::ok, toJson(key, found->second.value, found->second.revision));
+    }
+    if (target.starts_with("/-/kv-range")) {
+        co_return readRange(queryValue(target, "path_prefix"));
+    }
+    co_return transact(request.body());
+}
+
+http_response platform_store::readRange(const std::string &prefix)
+{
+    Json::Value answer;
+    answer["items"] = Json::Value{Json::arrayValue};
+    for (const auto &[key, value] : m_items) {
+        if (key.starts_with(prefix)) {
+            answer["items"].append(toJson(key, value.value, value.revision));
+        }
+    }
+    answer["has_more"] = false;
+    answer["at"] = static_cast<Json::UInt64>(m_revision);
+    return jsonResponse(http::status::ok, answer);
+}
+
+http_response platform_store::transact(const std::string &body)
+{
+    Json::Value request;
+    std::istringstream{body} >> request;
+    Json::Value answer;
+    for (const auto &condition : request["precondition"]) {
+        const auto key = condition["key"].asString();
+        const auto found = m_items.find(key);
+        if ((found == m_items.end() ? 0 : found->second.revision) == condition["revision"].asUInt64()) {
+            continue;
+        }
+        answer["items"] = Json::Value{Json::arrayValue};
+        if (found != m_items.end()) {
+            answer["items"].append(toJson(key, found->second.value, found->second.revision));
+        }
+        answer["at"] = static_cast<Json::UInt64>(m_revision);
+        return jsonResponse(http::status::precondition_failed, answer);
+    }
+    for (const auto &write : request["writes"]) {
+        m_items[write["key"].asString()] = {base64Decode(write["value"].asString()).value_or(""), ++m_revision};
+    }
+    answer["revision"] = static_cast<Json::UInt64>(m_revision);
+    return jsonResponse(http::status::ok, answer);
+}
+
+std::string toBody(const platform_heartbeat &heartbeat)
+{
+    return R"({"service":")" + heartbeat.service + R"(","address":")" + heartbeat.address + R"(","zone":"zone-a","version":"v1","slots":8,)"
+        + R"("state":")" + heartbeat.state + R"(","cold_left":"0ms","sequence":)" + std::to_string(heartbeat.sequence) + R"(,"born":)"
+        + std::to_string(heartbeat.startedAt) + '}';
+}
+
+platform_target::platform_target(const endpoint &local, std::string id)
+    : m_id{std::move(id)}
+    , m_listener{local, [this](http_request request, const std::shared_ptr<call_control> &) {
+                     return serve(std::move(request));
+                 }}
+{ }
+
+std::vector<target_run> platform_target::runs() const
+{
+    const std::lock_guard lock{m_mutex};
+    return m_runs;
+}
+
+boost::asio::awaitable<http_response> platform_target::serve(http_request request)
+{
+    const std::string id{request["X-Ragwortpin-Attempt-Id"]};
+    const std::string expected{request["X-Ragwortpin-Expect-Instance"]};
+    const bool isMisdirected{!expected.empty() && expected != m_id};
+    if (!isMisdirected) {
+        const std::lock_guard lock{m_mutex};
+        m_runs.push_back({id, std::string{request["X-Ragwortpin-Caller-Service"]}, std::string{request["X-Ragwortpin-Tenant"]}});
+    }
+    auto response = makeResponse(isMisdirected ? http::status::misdirected_request : http::status::ok, "text/plain", "whole");
+    response.set("X-Ragwortpin-Attempt-Id", id);
+    response.set("X-Ragwortpin-Instance-Id", m_id);
+    co_return response;
+}
+
+std::string settingsOf(const platform_machine &machine, const std::string &storeIp)
+{
+    const auto address = [&](std::uint16_t port) {
+        return '"' + toText(endpoint{machine.ip, port}) + '"';
+    };
+    constexpr std::uint16_t InboundPort{8543};
+    constexpr std::uint16_t FirstInternalPort{7000};
+    const auto store = '"' + toText(endpoint{storeIp, PlatformStorePort}) + '"';
+    return "instance: " + machine.name + "\navailability_zone: zone-a\navailability_zones: [zone-a]\nservice: " + machine.service
+        + "\naddresses: {callers: " + address(OutboundPort) + ", peers: " + address(InboundPort) + ", egress: " + address(FirstInternalPort)
+        + ", gossip: " + address(FirstInternalPort) + ", admin: " + address(MetricsPort) + "}\nannouncements: " + address(ControlPort)
+        + "\nreadiness: " + address(ReadyPort) + "\nplatform: {endpoints: [" + store + "], timeout_ms: 1200}\nnetwork_secret: " + store
+        + "\ndiscovery_prefix: \"ragwortpin/nodes/\"\nshutdown: {announce_ms: 500, finish_ms: 2700}\n"
+          "configuration: {zone_poll_interval_ms: 300, start_grace_ms: 0, start_spread_ms: 50, watch: true, longest_proof_age_ms: 4600}\n"
+          "overload: {cold_start: false, adaptive_limit: false, plan_admission: true}\nrate_method: shared\n";
+}
+
+} // namespace ragwortpin::test
--- /dev/null
+++ b/tests/system/platform_fleet.h
@@ -0,0 +1,131 @@
+#ifndef RAGWORTPIN_TESTS_SYSTEM_PLATFORM_FLEET_H
+#define RAGWORTPIN_TESTS_SYSTEM_PLATFORM_FLEET_H
+
+#include "system/cluster.h"
+
+#include "ragwortpin/http/server.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace ragwortpin::test {
+
+/** HTTP listener with an event loop and a thread of its own. */
+class threaded_listener
+{
+public:
+    threaded_listener(const endpoint &local, http_handler handler);
+    threaded_listener(const threaded_listener &) = delete;
+    threaded_listener &operator=(const threaded_listener &) = delete;
+    ~threaded_listener();
+
+    [[nodiscard]] boost::asio::io_context &context() noexcept
+    {
+        return m_context;
+    }
+
+private:
+    boost::asio::io_context m_context{1};
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work{m_context.get_executor()};
+    std::unique_ptr<http_server> m_server;
+    std::thread m_thread;
+};
+
+/** Metadata store of the platform: single keys, ranges, transactions and watches that end after their wait. */
+class platform_store
+{
+public:
+    explicit platform_store(const endpoint &local);
+
+    /** Writes a key as the operator. */
+    void put(const std::string &key, const std::string &value);
+
+private:
+    struct item
+    {
+        std::string value;
+        std::uint64_t revision{0};
+    };
+
+    boost::asio::awaitable<http_response> serve(http_request request);
+    http_response readRange(const std::string &prefix);
+    http_response transact(const std::string &body);
+
+    std::mutex m_mutex;
+    std::map<std::string, item> m_items;
+    std::uint64_t m_revision{100};
+    threaded_listener m_listener;
+};
+
+/** A request that a target has run. */
+struct target_run
+{
+    std::string id;
+    std::string callerService;
+    std::string workspace;
+
+    bool operator==(const target_run &) const = default;
+};
+
+/** Fields of a heartbeat of the platform. */
+struct platform_heartbeat
+{
+    std::string id;
+    std::string service;
+    std::string address;
+    std::string state{"ready"};
+    std::uint64_t sequence{1};
+    std::uint64_t startedAt{0};
+};
+
+/** Returns the body of a heartbeat. Strings are written byte by byte, without escapes. */
+[[nodiscard]] std::string toBody(const platform_heartbeat &heartbeat);
+
+/** Target of the platform: runs every request that expects no other incarnation, and answers the others with 421. */
+class platform_target
+{
+public:
+    platform_target(const endpoint &local, std::string id);
+
+    /** Requests that ran, in order of arrival. */
+    [[nodiscard]] std::vector<target_run> runs() const;
+
+private:
+    boost::asio::awaitable<http_response> serve(http_request request);
+
+    std::string m_id;
+    mutable std::mutex m_mutex;
+    std::vector<target_run> m_runs;
+    threaded_listener m_listener;
+};
+
+/** A machine of the platform: one loopback address with the node process and its target. */
+struct platform_machine
+{
+    std::string name;
+    std::string service;
+    std::string ip;
+};
+
+inline constexpr std::uint16_t PlatformStorePort{8545};
+inline constexpr std::uint16_t OutboundPort{8548};
+inline constexpr std::uint16_t ControlPort{8540};
+inline constexpr std::uint16_t ReadyPort{8546};
+inline constexpr std::uint16_t AppPort{8547};
+inline constexpr std::uint16_t MetricsPort{7003};
+
+/** Returns the settings that the node of a machine is started with, as deploy/settings.template gives them. */
+[[nodiscard]] std::string settingsOf(const platform_machine &machine, const std::string &storeIp);
+
+} // namespace ragwortpin::test
+
+#endif
