--- a/src/ragwortpin/callers/caller_gateway.cpp
+++ b/src/ragwortpin/callers/caller_gateway.cpp
@@ -85,13 +85,14 @@
     const std::string requestId{request[m_services.headers.requestId]};
     const std::string callerTimeout{request[m_services.headers.deadline]};
     const auto callControl = control;
-    auto answer = co_await serveCall(std::move(request), std::move(control), hop);
+    const auto callerService = m_services.ownService ? m_services.ownService() : std::string{};
+    auto answer = co_await serveCall(std::move(request), std::move(control), callerService, hop);
     if (answer.refusal) {
         observeRefusal(*answer.refusal);
     }
     const auto elapsed = monotonicNow() - arrived;
     m_latency.record(elapsed);
-    logAnswer(answer, hop, requestId, callerTimeout, callControl->cancelled(), elapsed);
+    logAnswer(answer, hop, callerService, requestId, callerTimeout, callControl->cancelled(), elapsed);
     if (hop.trace.sampled) {
         hop.end = wallClockNow();
         hop.httpStatus = answer.response.result_int();
@@ -103,6 +104,7 @@
 
 void caller_gateway::logAnswer(const call_answer &answer,
                                const span &hop,
+                               const std::string &callerService,
                                const std::string &requestId,
                                const std::string &callerTimeout,
                                bool isCallerDisconnected,
@@ -117,6 +119,7 @@
                 {{"id", requestId},
                  {"route", hop.route},
                  {"workspace", hop.workspace},
+                 {"caller_service", callerService},
                  {"status", std::to_string(status)},
                  {"outcome", std::string{toToken(answer.result)}},
                  {"refusal", answer.refusal ? std::string{describe(*answer.refusal).token} : std::string{}},
@@ -135,7 +138,8 @@
     m_refusals[static_cast<std::size_t>(kind)]->add();
 }
 
-boost::asio::awaitable<call_answer> caller_gateway::serveCall(http_request request, std::shared_ptr<call_control> control, span &hop)
+boost::asio::awaitable<call_answer>
+caller_gateway::serveCall(http_request request, std::shared_ptr<call_control> control, std::string callerService, span &hop)
 {
     const auto arrived = monotonicNow();
     const auto index = m_services.configuration.load();
@@ -169,7 +173,7 @@
                       .context = {.workspace = identity.workspace,
                                   .route = definition.name,
                                   .service = chooseService(m_splits, definition, drawUnit(m_random)),
-                                  .callerService = m_services.ownService ? m_services.ownService() : std::string{},
+                                  .callerService = std::move(callerService),
                                   .rank = effectiveRank(*index, *match.found, identity.workspace),
                                   .depth = fromTarget ? 1U : 0U,
                                   .retryAllowance = DefaultRetryAllowance,
--- a/src/ragwortpin/callers/caller_gateway.h
+++ b/src/ragwortpin/callers/caller_gateway.h
@@ -97,10 +97,12 @@
     void observeRefusal(refusal_kind kind);
 
 private:
-    [[nodiscard]] boost::asio::awaitable<call_answer> serveCall(http_request request, std::shared_ptr<call_control> control, span &hop);
+    [[nodiscard]] boost::asio::awaitable<call_answer>
+    serveCall(http_request request, std::shared_ptr<call_control> control, std::string callerService, span &hop);
     [[nodiscard]] boost::asio::awaitable<call_answer> admitAndRun(inbound_call call);
     void logAnswer(const call_answer &answer,
                    const span &hop,
+                   const std::string &callerService,
                    const std::string &requestId,
                    const std::string &callerTimeout,
                    bool isCallerDisconnected,
--- a/src/ragwortpin/runtime/logging.cpp
+++ b/src/ragwortpin/runtime/logging.cpp
@@ -1,6 +1,7 @@
 #include "ragwortpin/runtime/logging.h"
 
 #include "ragwortpin/core/time.h"
+#include "ragwortpin/runtime/quoting.h"
 
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/layout.h>
@@ -74,19 +75,6 @@
     line.append(text.data(), digits > 0 ? static_cast<std::size_t>(digits) : 0);
 }
 
-void appendQuoted(std::string &line, std::string_view value)
-{
-    line.push_back('"');
-    for (const auto character : value) {
-        const bool printable = character >= ' ' && character != '\x7f';
-        if (character == '"' || character == '\\') {
-            line.push_back('\\');
-        }
-        line.push_back(printable ? character : '?');
-    }
-    line.push_back('"');
-}
-
 std::string formatLine(log_level level, std::string_view event, std::initializer_list<log_field> fields)
 {
     constexpr std::size_t TypicalLineSize{192};
--- a/tests/system/foreign_announcement_test.cpp
+++ b/tests/system/foreign_announcement_test.cpp
@@ -42,10 +42,9 @@
         host.startProgram("node", "ragwortpin-platform-node", {"--settings", file});
     }
 
-    unsigned announce(platform_heartbeat heartbeat)
+    unsigned announce(const platform_heartbeat &heartbeat)
     {
-        const auto id = heartbeat.id;
-        return host.request(http::verb::post, ControlPort, "/-/Instances.Heartbeat/" + id, {}, toBody(heartbeat)).status;
+        return host.request(http::verb::post, ControlPort, "/-/Instances.Heartbeat/" + heartbeat.id, {}, toBody(heartbeat)).status;
     }
 
     unsigned announceTarget()
