Choose an instance again two seconds after it was not ready, whatever the membership says

A node whose target refused one request with 421 answered "not ready", and every first hop that saw this never sent it a request again until some record of the membership changed. Two nodes and one heartbeat with a foreign id: 8 of 8 requests refused, the first with not_ready, the others with no_instance, though the target was back at once. Cause: the answer was written over the draining flag of the membership.

Now the answer holds for 2 s, or until the record of the instance changes. A lasting drain is in the membership by then. Ruled out: an ejection (its pause ends by itself).

--- a/src/ragwortpin/routing/routing.cpp
+++ b/src/ragwortpin/routing/routing.cpp
@@ -65,10 +65,10 @@
 [[nodiscard]] bool isEligible(
     const routing_state &state, std::size_t index, instance_filter filter, std::span<const std::size_t> tried, time_point now) noexcept
 {
-    if (isTried(tried, index)) {
+    const routed_instance &instance{state.instances[index]};
+    if (isTried(tried, index) || now < instance.notServingUntil) {
         return false;
     }
-    const routed_instance &instance{state.instances[index]};
     return filter == instance_filter::Any || (!isEjected(instance, now) && !isStalled(state, instance, now));
 }
 
@@ -228,6 +228,9 @@
         if (known) {
             routed.push_back(std::move(state.instances[*known]));
             state.instances[*known].summary.name = summary.name;
+            if (routed.back().summary != summary) {
+                routed.back().notServingUntil = {};
+            }
             routed.back().summary = std::move(summary);
         } else {
             routed.push_back(internal::makeInstance(std::move(summary), now));
@@ -289,8 +292,7 @@
         internal::recordFailure(state, instance, now);
         break;
     case attempt_kind::NotServing:
-        instance.summary.draining = true;
-        internal::indexPools(state);
+        instance.notServingUntil = now + state.options.notServingTime;
         break;
     case attempt_kind::Cancelled:
         break;
--- a/src/ragwortpin/routing/routing.h
+++ b/src/ragwortpin/routing/routing.h
@@ -30,6 +30,11 @@
     duration maxEjectionTime{milliseconds{30000}};
     /** Maximum fraction of the instances that may be ejected at the same time; at least one instance always stays. */
     double maxEjectedFraction{0.5};
+    /**
+     * Time for which an instance is not chosen after it answered that it is draining or not ready. Membership reports a lasting state
+     * within this time; another state ends with it.
+     */
+    duration notServingTime{milliseconds{2000}};
     /** Duration of the slow start of a new instance or of one that returns after an ejection. */
     duration slowStartDuration{milliseconds{5000}};
     /** Age at which a load report has no weight any more; its weight falls linearly until then. */
@@ -83,6 +88,7 @@
     unsigned failuresInRow{0};
     unsigned consecutiveEjections{0};
     time_point ejectedUntil{};
+    time_point notServingUntil{};
     /** Start of the slow start. */
     time_point slowStartBegan{};
     /** Time of the last result other than a timeout or cancellation, or of the first request sent while none was in flight. */
--- a/tests/routing/routing_test.cpp
+++ b/tests/routing/routing_test.cpp
@@ -90,6 +90,19 @@
     CHECK(chooseInstance(state, one, now, random) == std::size_t{2});
 }
 
+TEST_CASE("an instance that was not ready once is chosen again without a change of the membership")
+{
+    time_point now{};
+    routing_state state{routingAfterSlowStart(1, 0, now)};
+    beginAttempt(state, 0, now);
+    observeAttempt(state, 0, attempt_result{attempt_kind::NotServing, {}, {}}, now);
+    std::mt19937_64 random{1};
+    now += state.options.notServingTime - milliseconds{1};
+    CHECK_FALSE(chooseInstance(state, {}, now, random).has_value());
+    now += milliseconds{1};
+    CHECK(chooseInstance(state, {}, now, random) == std::size_t{0});
+}
+
 TEST_CASE("an instance that accepts requests and never responds is not chosen")
 {
     time_point now{};
