Let no announcement hold a target's place longer than it can be disproved or falls silent

One heartbeat with a later start time made all heartbeats of the real target stale for good, and one with a high sequence number all later ones of its own incarnation, its drain among them. A 421 took whatever target was announced when it came out of use, also one that had started meanwhile, until another started. So a foreign or late message changed a node for as long as it ran.

A 421 now refutes the incarnation that the request was meant for, and only while it is the announced one; the target that it had displaced returns if it was heard of within 6 s. A sender that goes on announcing itself takes over after 6 s without a current announcement. A drain is taken whatever its sequence number; that of another start changes nothing while the latest one is heard of. Departures of names that were never announced no longer push out known ones.

The table of intruders and the property (any messages of others, then 20 s of heartbeats: the target is the latest again) fail without the change. Ruled out as a remedy: a bound on start times by the own clock, which would refuse real targets after the clock was set.

--- a/src/ragwortpin/node/data_plane.cpp
+++ b/src/ragwortpin/node/data_plane.cpp
@@ -43,10 +43,11 @@
     return result;
 }
 
-target_options toTargetOptions(const node_settings &settings)
+target_options toTargetOptions(const node_settings &settings, std::function<void(const std::string &)> refuted)
 {
     target_options options;
     options.headers = settings.headers;
+    options.refuted = std::move(refuted);
     options.startsCold = settings.overload.coldStart;
     options.usableSlotFraction = settings.overload.usableSlotFraction;
     options.admission.maxQueueDrainTime = settings.overload.maxQueueDelay;
@@ -115,7 +116,14 @@
     , m_loopDelay{metrics.distributionFor("ragwortpin_event_loop_delay_seconds")}
     , m_client{m_context, settings.limits}
     , m_directory{settings.availabilityZone}
-    , m_target{m_context, m_client, metrics, m_services.spans, toTargetOptions(settings)}
+    , m_target{m_context,
+               m_client,
+               metrics,
+               m_services.spans,
+               toTargetOptions(settings,
+                               [this](const std::string &incarnation) {
+                                   handleRefutation(incarnation);
+                               })}
     , m_dispatcher{{settings.instance, keys},
                    m_client,
                    m_directory,
@@ -308,12 +316,17 @@
 
 void data_plane::handleAnnouncement(const target_announcement &announcement)
 {
-    if (recordAnnouncement(m_announcementHistory, announcement) == announcement_verdict::Stale) {
+    if (recordAnnouncement(m_announcementHistory, announcement, monotonicNow()) == announcement_verdict::Stale) {
         logEvent(log_level::Warning,
                  "announcement_stale",
                  {{"incarnation", announcement.incarnation}, {"sequence", std::to_string(announcement.sequence)}});
         return;
     }
+    applyAnnouncement(announcement);
+}
+
+void data_plane::applyAnnouncement(const target_announcement &announcement)
+{
     const bool isNew{!m_target.announced() || m_target.announced()->incarnation != announcement.incarnation};
     if (isNew) {
         logEvent(
@@ -335,6 +348,16 @@
     updateOwnRecord();
 }
 
+/** Returns to the target that the refuted incarnation had displaced, if that one still announces itself. */
+void data_plane::handleRefutation(const std::string &incarnation)
+{
+    logEvent(log_level::Warning, "target_refuted", {{"incarnation", incarnation}});
+    if (refuteIncarnation(m_announcementHistory, incarnation, monotonicNow()) && m_announcementHistory.latest) {
+        const auto previous = *m_announcementHistory.latest;
+        applyAnnouncement(previous);
+    }
+}
+
 void data_plane::handleDeparture(const target_departure &departure)
 {
     if (recordDeparture(m_announcementHistory, departure)) {
--- a/src/ragwortpin/node/data_plane.h
+++ b/src/ragwortpin/node/data_plane.h
@@ -98,6 +98,8 @@
     void receiveLoan(const loan_event &loan);
     [[nodiscard]] boost::asio::awaitable<rate_limit_result> takeToken(std::string workspace, std::shared_ptr<call_control> control);
     void handleAnnouncement(const target_announcement &announcement);
+    void applyAnnouncement(const target_announcement &announcement);
+    void handleRefutation(const std::string &incarnation);
     void handleDeparture(const target_departure &departure);
     void startDraining(std::string_view reason);
     [[nodiscard]] std::uint32_t connectionLimit(const std::string &service) const;
--- a/src/ragwortpin/targets/announcement.cpp
+++ b/src/ragwortpin/targets/announcement.cpp
@@ -1,13 +1,49 @@
 #include "ragwortpin/targets/announcement.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace ragwortpin {
 
 namespace {
 
-bool isFromDepartedIncarnation(const announcement_history &history, const target_announcement &announcement)
+constexpr std::size_t MaxRecordedStarts{16};
+/** Announcements, and the time from the first to the last of them, that a rival needs to take over. */
+constexpr unsigned MinRivalAnnouncements{3};
+constexpr seconds MinRivalPeriod{2};
+
+template<typename Value>
+void appendBounded(std::vector<Value> &values, Value value)
+{
+    if (values.size() >= MaxRecordedStarts) {
+        values.erase(values.begin());
+    }
+    values.push_back(std::move(value));
+}
+
+bool isSameStart(const target_announcement &first, const target_announcement &second) noexcept
 {
-    return !history.departedIncarnation.empty() && announcement.incarnation == history.departedIncarnation
-        && announcement.startedAt <= history.departedStartedAt;
+    return first.startedAt == second.startedAt && first.incarnation == second.incarnation;
+}
+
+bool hasDeparted(const std::vector<target_start> &departed, const target_announcement &announcement)
+{
+    return std::any_of(departed.begin(), departed.end(), [&announcement](const target_start &start) {
+        return start.incarnation == announcement.incarnation && announcement.startedAt <= start.startedAt;
+    });
+}
+
+bool hasDeparted(const announcement_history &history, const target_announcement &announcement)
+{
+    return hasDeparted(history.departed, announcement) || hasDeparted(history.departedUnannounced, announcement);
+}
+
+bool isRefuted(const announcement_history &history, const target_announcement &announcement, time_point now)
+{
+    return std::any_of(history.refuted.begin(), history.refuted.end(), [&](const refuted_start &refuted) {
+        return refuted.start == target_start{announcement.incarnation, announcement.startedAt}
+        && now - refuted.refutedAt < RefutationPeriod;
+    });
 }
 
 bool isSuperseded(const target_announcement &latest, const target_announcement &announcement)
@@ -18,27 +54,101 @@
     return announcement.incarnation == latest.incarnation && announcement.sequence > 0 && announcement.sequence <= latest.sequence;
 }
 
+bool isSilent(const announcement_history &history, time_point now)
+{
+    return now - history.latestHeardAt >= AnnouncementSilence;
+}
+
+/** Records an announcement that contradicts the latest one. A rival that is still heard of is not replaced by another. */
+void recordRival(announcement_history &history, const target_announcement &announcement, time_point now)
+{
+    auto &rival = history.rival;
+    const bool isKnown{rival && isSameStart(rival->value, announcement)};
+    if (isKnown && announcement.sequence > rival->value.sequence) {
+        rival->value = announcement;
+        rival->lastHeardAt = now;
+        ++rival->count;
+    } else if (!rival || isKnown || now - rival->lastHeardAt >= AnnouncementSilence) {
+        rival = rival_announcement{announcement, now, now, 1};
+    }
+}
+
+bool canTakeOver(const announcement_history &history, const target_announcement &announcement, time_point now)
+{
+    const auto &rival = history.rival;
+    const bool wouldEndDrain{history.latest->draining && !announcement.draining && isSameStart(*history.latest, announcement)};
+    return !wouldEndDrain && isSilent(history, now) && rival && rival->value == announcement && rival->count >= MinRivalAnnouncements
+        && now - rival->firstHeardAt >= MinRivalPeriod;
+}
+
+/** Makes the announcement the latest one. The sender that it displaces becomes the rival, so that it can return. */
+void accept(announcement_history &history, const target_announcement &announcement, time_point now)
+{
+    const bool displaces{history.latest && !isSameStart(*history.latest, announcement)};
+    if (displaces) {
+        history.rival = rival_announcement{*history.latest, history.latestHeardAt, history.latestHeardAt, 0};
+    } else if (history.rival && isSameStart(history.rival->value, announcement)) {
+        history.rival.reset();
+    }
+    history.latest = announcement;
+    history.latestHeardAt = now;
+}
+
 } // namespace
 
-announcement_verdict recordAnnouncement(announcement_history &history, const target_announcement &announcement)
+announcement_verdict recordAnnouncement(announcement_history &history, const target_announcement &announcement, time_point now)
 {
-    const bool superseded{history.latest && isSuperseded(*history.latest, announcement)};
-    if (superseded || isFromDepartedIncarnation(history, announcement)) {
+    if (hasDeparted(history, announcement) || isRefuted(history, announcement, now)) {
         return announcement_verdict::Stale;
     }
-    history.latest = announcement;
+    if (!history.latest) {
+        accept(history, announcement, now);
+        return announcement_verdict::Accepted;
+    }
+    const bool isSame{isSameStart(*history.latest, announcement)};
+    if (isSame && announcement.draining && !history.latest->draining) {
+        const auto sequence = std::max(history.latest->sequence, announcement.sequence);
+        accept(history, announcement, now);
+        history.latest->sequence = sequence;
+        return announcement_verdict::Accepted;
+    }
+    const bool isForeignDrain{!isSame && announcement.draining && !isSilent(history, now)};
+    if (isForeignDrain || isSuperseded(*history.latest, announcement)) {
+        recordRival(history, announcement, now);
+        if (!canTakeOver(history, announcement, now)) {
+            return announcement_verdict::Stale;
+        }
+        // Not merely displaced: the silent sender counts as a rival again once it is heard of.
+        history.latest.reset();
+    }
+    accept(history, announcement, now);
     return announcement_verdict::Accepted;
 }
 
 bool recordDeparture(announcement_history &history, const target_departure &departure)
 {
     if (!history.latest || history.latest->incarnation != departure.incarnation) {
-        history.departedIncarnation = departure.incarnation;
-        history.departedStartedAt = departure.receivedAt;
+        appendBounded(history.departedUnannounced, target_start{departure.incarnation, departure.receivedAt});
+        return false;
+    }
+    appendBounded(history.departed, target_start{departure.incarnation, history.latest->startedAt});
+    return true;
+}
+
+bool refuteIncarnation(announcement_history &history, const std::string &incarnation, time_point now)
+{
+    if (!history.latest || history.latest->incarnation != incarnation) {
         return false;
     }
-    history.departedIncarnation = departure.incarnation;
-    history.departedStartedAt = history.latest->startedAt;
+    appendBounded(history.refuted, refuted_start{{incarnation, history.latest->startedAt}, now});
+    history.latest.reset();
+    const auto rival = std::exchange(history.rival, std::nullopt);
+    const bool isRivalPresent{rival && now - rival->lastHeardAt < AnnouncementSilence && !isRefuted(history, rival->value, now)
+                              && !hasDeparted(history, rival->value)};
+    if (isRivalPresent) {
+        history.latest = rival->value;
+        history.latestHeardAt = rival->lastHeardAt;
+    }
     return true;
 }
 
--- a/src/ragwortpin/targets/announcement.h
+++ b/src/ragwortpin/targets/announcement.h
@@ -1,12 +1,14 @@
 #ifndef RAGWORTPIN_TARGETS_ANNOUNCEMENT_H
 #define RAGWORTPIN_TARGETS_ANNOUNCEMENT_H
 
+#include "ragwortpin/core/time.h"
 #include "ragwortpin/http/message.h"
 #include "ragwortpin/targets/fwd.h"
 
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace ragwortpin {
 
@@ -44,14 +46,49 @@
     bool operator==(const target_departure &) const = default;
 };
 
-/** Announcement and departure of its target that a node recorded last. */
+/** One start of a target. */
+struct target_start
+{
+    std::string incarnation;
+    /** Wall clock at the start, or an upper bound of it, in milliseconds since the Unix epoch. */
+    std::uint64_t startedAt{0};
+
+    bool operator==(const target_start &) const = default;
+};
+
+/** Start that another incarnation at the target's address has disproved by refusing a request meant for it. */
+struct refuted_start
+{
+    target_start start;
+    time_point refutedAt;
+
+    bool operator==(const refuted_start &) const = default;
+};
+
+/** Announcement that is not the current one, though its sender goes on sending. */
+struct rival_announcement
+{
+    target_announcement value;
+    time_point firstHeardAt;
+    time_point lastHeardAt;
+    /** Number of announcements since firstHeardAt, each with a higher sequence number than the one before. */
+    unsigned count{0};
+
+    bool operator==(const rival_announcement &) const = default;
+};
+
+/** What a node recorded of the announcements and departures of its target. Its size is bounded. */
 struct announcement_history
 {
     std::optional<target_announcement> latest;
-    /** Incarnation that departed last; empty if there is none. */
-    std::string departedIncarnation;
-    /** Start time of that incarnation, or an upper bound of it, in milliseconds since the Unix epoch. */
-    std::uint64_t departedStartedAt{0};
+    time_point latestHeardAt{};
+    /** Sender that `latest` displaced, or that contradicts it; takes its place if `latest` falls silent or is refuted. */
+    std::optional<rival_announcement> rival;
+    /** Starts that departed after they were announced here. */
+    std::vector<target_start> departed;
+    /** Starts that departed without an announcement. Kept apart, since anybody can name any number of them. */
+    std::vector<target_start> departedUnannounced;
+    std::vector<refuted_start> refuted;
 
     bool operator==(const announcement_history &) const = default;
 };
@@ -60,21 +97,37 @@
 enum class announcement_verdict : unsigned char {
     /** The announcement is current and was recorded. */
     Accepted,
-    /** The announcement was ignored: it is older than the latest one, or of an incarnation that has departed. */
+    /** The announcement was ignored: it is older than the latest one, or of an incarnation that has departed or was refuted. */
     Stale,
 };
 
+/** Time without a current announcement after which a rival that goes on announcing itself takes over. Several heartbeat intervals. */
+inline constexpr seconds AnnouncementSilence{6};
+/** Time for which announcements of a refuted start are ignored. */
+inline constexpr seconds RefutationPeriod{10};
+
 /**
- * Checks whether an announcement is current and records it if it is. Announcements may be delayed by seconds and arrive after
- * their sender has ended. Therefore an announcement is stale if its start time is earlier than that of the latest one, if it has
- * the start time and incarnation of the latest one without a higher sequence number (unless it is not numbered), or if its
- * incarnation is the one that departed last and did not start anew since.
+ * Checks whether an announcement is current and records it if it is. Announcements may be delayed by seconds and arrive after their sender
+ * has ended. Therefore an announcement is stale if its start time is earlier than that of the latest one, if it has the start time and
+ * incarnation of the latest one without a higher sequence number (unless it is not numbered), or if its start departed or was refuted.
+ *
+ * None of this lasts, since start times and sequence numbers can be wrong: after AnnouncementSilence without a current announcement, a
+ * sender that was ignored and goes on announcing itself is accepted. That a target drains is accepted of the latest start whatever its
+ * sequence number, and ignored of any other start while the latest one is heard of.
  */
-[[nodiscard]] announcement_verdict recordAnnouncement(announcement_history &history, const target_announcement &announcement);
+[[nodiscard]] announcement_verdict
+recordAnnouncement(announcement_history &history, const target_announcement &announcement, time_point now);
 
 /** Records a departure. Returns true if it is of the incarnation that sent the latest announcement. */
 [[nodiscard]] bool recordDeparture(announcement_history &history, const target_departure &departure);
 
+/**
+ * Records that the target refused a request since it is not the given incarnation. If the latest announcement is of this incarnation, it is
+ * dropped, and the announcement it displaced is the latest again if it was heard of within AnnouncementSilence. Returns whether the latest
+ * announcement has changed.
+ */
+[[nodiscard]] bool refuteIncarnation(announcement_history &history, const std::string &incarnation, time_point now);
+
 } // namespace ragwortpin
 
 #endif
--- a/src/ragwortpin/targets/target_gateway.cpp
+++ b/src/ragwortpin/targets/target_gateway.cpp
@@ -73,7 +73,7 @@
     if (restarted && m_announcement) {
         m_client.closeIdleConnections(m_announcement->address);
     }
-    m_targetReplaced = m_targetReplaced && !restarted;
+    m_targetReplaced = false;
     m_announcement = announcement;
 }
 
@@ -172,6 +172,7 @@
     const auto run = m_activeRuns.emplace(deadlineAfter(toWholeMilliseconds(remainingForCallee(call.deadline, startedAt)), startedAt),
                                           active_run{routeId(call.context.route), call.context.rank});
     const auto address = m_announcement->address;
+    const auto incarnation = m_announcement->incarnation;
     auto options = m_options.exchange;
     options.expectedId = call.requestId;
     if (!call.definition.retryable) {
@@ -188,7 +189,7 @@
     cancelCalls(*request);
     releaseSlot(id, *request, result, call.control->cancelled());
     m_targetTime.record(monotonicNow() - startedAt);
-    auto answer = toAnswer(std::move(result), call, *request);
+    auto answer = toAnswer(std::move(result), call, *request, incarnation);
     logOutcome(call, answer, monotonicNow() - startedAt);
     if (call.context.trace.sampled) {
         m_spans(span{.trace = call.context.trace,
@@ -270,13 +271,25 @@
                  {"left_ms", std::to_string(std::chrono::duration_cast<milliseconds>(call.deadline - monotonicNow()).count())}});
 }
 
-call_answer target_gateway::toAnswer(exchange_result result, const inbound_call &call, const in_flight_request &request)
+/** Records that the target is not the incarnation that a request was meant for. A refusal of an earlier one says nothing of the latest. */
+void target_gateway::observeMisdirected(const std::string &incarnation)
+{
+    if (m_announcement->incarnation == incarnation) {
+        m_targetReplaced = true;
+        m_options.refuted(incarnation);
+    }
+}
+
+call_answer
+target_gateway::toAnswer(exchange_result result, const inbound_call &call, const in_flight_request &request, const std::string &incarnation)
 {
     call_answer answer;
     if (result.progress == exchange_progress::Answered && indicatesNotRun(*result.response, m_options.headers)) {
         m_notRun.add();
         const bool misdirected{result.response->result() == http::status::misdirected_request};
-        m_targetReplaced = m_targetReplaced || misdirected;
+        if (misdirected) {
+            observeMisdirected(incarnation);
+        }
         const auto kind = misdirected ? refusal_kind::NotReady : refusal_kind::Overloaded;
         answer = refuseCall(kind, outcome::NotRun, unusedAllowance(request.escrow), retryAfter(*m_admission));
         answer.arrivals = 1;
--- a/src/ragwortpin/targets/target_gateway.h
+++ b/src/ragwortpin/targets/target_gateway.h
@@ -19,6 +19,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -38,6 +39,8 @@
     double usableSlotFraction{1.0};
     /** Options of the exchanges with the target, such as the matching of responses to requests and the reuse of connections. */
     exchange_options exchange;
+    /** Called when the target refused a request with status 421 because it is not the announced incarnation, which is passed. */
+    std::function<void(const std::string &incarnation)> refuted{[](const std::string &) {}};
     /** Idle time from which on a connection is not reused for requests that are not retryable and so must not be sent twice. */
     duration maxIdleNonRetryable{seconds{5}};
 };
@@ -58,7 +61,7 @@
     /**
      * Applies an announcement of the target. The first one creates the admission state, which begins with a slow start if
      * target_options::startsCold is set; later ones update its capacity. If the address or the incarnation has changed, the idle
-     * connections to the previous address are closed.
+     * connections to the previous address are closed. Requests are accepted again if the target refused the previous incarnation.
      */
     void announce(const target_announcement &announcement, time_point now);
 
@@ -168,7 +171,9 @@
     [[nodiscard]] boost::asio::awaitable<call_answer> exchangeWithTarget(inbound_call &call, request_id id);
     [[nodiscard]] call_answer refuse(refusal_kind kind, const inbound_call &call);
     [[nodiscard]] http_request toTargetRequest(inbound_call &call, const std::string &token, time_point now) const;
-    [[nodiscard]] call_answer toAnswer(exchange_result result, const inbound_call &call, const in_flight_request &request);
+    [[nodiscard]] call_answer
+    toAnswer(exchange_result result, const inbound_call &call, const in_flight_request &request, const std::string &incarnation);
+    void observeMisdirected(const std::string &incarnation);
     void logOutcome(const inbound_call &call, const call_answer &answer, duration elapsed) const;
     void releaseSlot(request_id id, const in_flight_request &request, const exchange_result &result, bool cancelled);
     void applyAdmissionChanges(const admission_changes &changes);
--- a/tests/targets/announcement_test.cpp
+++ b/tests/targets/announcement_test.cpp
@@ -1,6 +1,7 @@
 #include "ragwortpin/targets/announcement.h"
 
 #include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
 
 #include <string>
 #include <vector>
@@ -42,33 +43,174 @@
     for (const auto &entry : cases) {
         CAPTURE(entry.name);
         announcement_history history;
-        REQUIRE(recordAnnouncement(history, makeAnnouncement("b", 200, 5)) == announcement_verdict::Accepted);
-        CHECK(recordAnnouncement(history, entry.later) == entry.verdict);
+        REQUIRE(recordAnnouncement(history, makeAnnouncement("b", 200, 5), time_point{}) == announcement_verdict::Accepted);
+        CHECK(recordAnnouncement(history, entry.later, time_point{}) == entry.verdict);
     }
 }
 
 TEST_CASE("after a departure only announcements with a later start are accepted")
 {
     announcement_history history;
-    REQUIRE(recordAnnouncement(history, makeAnnouncement("b", 200, 5)) == announcement_verdict::Accepted);
+    REQUIRE(recordAnnouncement(history, makeAnnouncement("b", 200, 5), time_point{}) == announcement_verdict::Accepted);
     CHECK_FALSE(recordDeparture(history, {"a", 150}));
-    CHECK(recordAnnouncement(history, makeAnnouncement("b", 200, 6)) == announcement_verdict::Accepted);
+    CHECK(recordAnnouncement(history, makeAnnouncement("b", 200, 6), time_point{}) == announcement_verdict::Accepted);
     CHECK(recordDeparture(history, {"b", 250}));
-    CHECK(recordAnnouncement(history, makeAnnouncement("b", 200, 7)) == announcement_verdict::Stale);
-    CHECK(recordAnnouncement(history, makeAnnouncement("b", 300, 1)) == announcement_verdict::Accepted);
+    CHECK(recordAnnouncement(history, makeAnnouncement("b", 200, 7), time_point{}) == announcement_verdict::Stale);
+    CHECK(recordAnnouncement(history, makeAnnouncement("b", 300, 1), time_point{}) == announcement_verdict::Accepted);
 }
 
 TEST_CASE("a departure received before the first announcement makes earlier starts stale")
 {
     announcement_history history;
     CHECK_FALSE(recordDeparture(history, {"b", 250}));
-    CHECK(recordAnnouncement(history, makeAnnouncement("b", 200, 7)) == announcement_verdict::Stale);
-    CHECK(recordAnnouncement(history, makeAnnouncement("b", 260, 1)) == announcement_verdict::Accepted);
+    CHECK(recordAnnouncement(history, makeAnnouncement("b", 200, 7), time_point{}) == announcement_verdict::Stale);
+    CHECK(recordAnnouncement(history, makeAnnouncement("b", 260, 1), time_point{}) == announcement_verdict::Accepted);
 }
 
 TEST_CASE("announcements without sequence numbers are accepted in the order of arrival")
 {
     announcement_history history;
-    CHECK(recordAnnouncement(history, makeAnnouncement("", 0, 0)) == announcement_verdict::Accepted);
-    CHECK(recordAnnouncement(history, makeAnnouncement("", 0, 0)) == announcement_verdict::Accepted);
+    CHECK(recordAnnouncement(history, makeAnnouncement("", 0, 0), time_point{}) == announcement_verdict::Accepted);
+    CHECK(recordAnnouncement(history, makeAnnouncement("", 0, 0), time_point{}) == announcement_verdict::Accepted);
+}
+
+TEST_CASE("another sender holds a target's place no longer than its silence or its first refused request")
+{
+    constexpr milliseconds Interval{1500};
+    struct intruder_case
+    {
+        std::string name;
+        target_announcement intruder;
+        /** Whether the target refuses a request meant for the intruder. */
+        bool isRefuted;
+        /** Heartbeats of the target, sent at each interval, until one is accepted. */
+        unsigned heartbeats;
+    };
+    auto draining = makeAnnouncement("c", 900, 1);
+    draining.draining = true;
+    const std::vector<intruder_case> cases{
+        {"later start, refuted", makeAnnouncement("c", 900, 1), true, 1},
+        {"later start, silent", makeAnnouncement("c", 900, 1), false, 4},
+        {"own incarnation with a later start, silent", makeAnnouncement("b", 900, 1), false, 4},
+        {"own start with a high sequence number, silent", makeAnnouncement("b", 200, 1'000'000), false, 4},
+        {"later start that drains", draining, false, 1},
+    };
+    for (const auto &entry : cases) {
+        CAPTURE(entry.name);
+        announcement_history history;
+        time_point now{};
+        REQUIRE(recordAnnouncement(history, makeAnnouncement("b", 200, 5), now) == announcement_verdict::Accepted);
+        static_cast<void>(recordAnnouncement(history, entry.intruder, now));
+        if (entry.isRefuted) {
+            CHECK(refuteIncarnation(history, "c", now));
+            CHECK(history.latest == makeAnnouncement("b", 200, 5));
+            CHECK(recordAnnouncement(history, entry.intruder, now) == announcement_verdict::Stale);
+        }
+        unsigned sent{0};
+        auto verdict = announcement_verdict::Stale;
+        while (verdict == announcement_verdict::Stale && sent < 20) {
+            now += Interval;
+            verdict = recordAnnouncement(history, makeAnnouncement("b", 200, 6 + sent), now);
+            ++sent;
+        }
+        CHECK(sent == entry.heartbeats);
+        CHECK(history.latest->incarnation == "b");
+    }
+}
+
+TEST_CASE("a drain is taken whatever its sequence number and is not revoked by delayed announcements")
+{
+    announcement_history history;
+    time_point now{};
+    auto draining = makeAnnouncement("b", 200, 6);
+    draining.draining = true;
+    REQUIRE(recordAnnouncement(history, makeAnnouncement("b", 200, 1'000'000), now) == announcement_verdict::Accepted);
+    CHECK(recordAnnouncement(history, draining, now) == announcement_verdict::Accepted);
+    for (std::uint64_t sequence{1}; sequence < 20; ++sequence) {
+        now += seconds{1};
+        CHECK(recordAnnouncement(history, makeAnnouncement("b", 200, sequence), now) == announcement_verdict::Stale);
+    }
+    CHECK(history.latest->draining);
+}
+
+TEST_CASE("departures of incarnations that were never announced do not make a known departure forgotten")
+{
+    announcement_history history;
+    REQUIRE(recordAnnouncement(history, makeAnnouncement("b", 200, 5), time_point{}) == announcement_verdict::Accepted);
+    REQUIRE(recordDeparture(history, {"b", 250}));
+    for (unsigned index{0}; index < 1000; ++index) {
+        CHECK_FALSE(recordDeparture(history, {"x" + std::to_string(index), 300}));
+    }
+    CHECK(recordAnnouncement(history, makeAnnouncement("b", 200, 6), time_point{} + seconds{60}) == announcement_verdict::Stale);
+}
+
+TEST_CASE("a target that goes on announcing itself is the latest again after any messages of other senders")
+{
+    rc::prop("recovery", [] {
+        constexpr milliseconds Step{500};
+        constexpr unsigned HeartbeatSteps{3};
+        announcement_history history;
+        time_point now{};
+        std::uint64_t sequence{0};
+        const auto steps = *rc::gen::inRange(0U, 60U);
+        const auto announceTarget = [&](unsigned step) {
+            if (step % HeartbeatSteps == 0) {
+                static_cast<void>(recordAnnouncement(history, makeAnnouncement("b", 200, ++sequence), now));
+            }
+        };
+        for (unsigned step{0}; step < steps; ++step) {
+            now += Step;
+            announceTarget(step);
+            const auto incarnation = *rc::gen::element(std::string{"b"}, std::string{"c"}, std::string{"d"});
+            const auto startedAt = *rc::gen::element<std::uint64_t>(0, 100, 200, 300, 1'000'000);
+            auto other = makeAnnouncement(incarnation, startedAt, *rc::gen::inRange<std::uint64_t>(1, 1000));
+            switch (*rc::gen::inRange(0, 4)) {
+            case 0:
+                static_cast<void>(recordAnnouncement(history, other, now));
+                break;
+            case 1:
+                other.draining = incarnation != "b";
+                static_cast<void>(recordAnnouncement(history, other, now));
+                break;
+            case 2:
+                static_cast<void>(refuteIncarnation(history, *rc::gen::element(std::string{"c"}, std::string{"d"}), now));
+                break;
+            default:
+                if (incarnation != "b") {
+                    static_cast<void>(recordDeparture(history, {incarnation, startedAt}));
+                }
+                break;
+            }
+        }
+        constexpr unsigned RecoverySteps{40};
+        for (unsigned step{0}; step < RecoverySteps; ++step) {
+            now += Step;
+            announceTarget(step);
+        }
+        RC_ASSERT(history.latest.has_value());
+        RC_ASSERT(history.latest->incarnation == "b");
+        RC_ASSERT(history.latest->sequence + 1 >= sequence);
+        RC_ASSERT(history.departed.size() + history.departedUnannounced.size() + history.refuted.size() <= 48U);
+    });
+}
+
+TEST_CASE("an incarnation that departed never returns without a later start")
+{
+    rc::prop("departure", [] {
+        announcement_history history;
+        time_point now{};
+        static_cast<void>(recordAnnouncement(history, makeAnnouncement("b", 200, 5), now));
+        RC_ASSERT(recordDeparture(history, {"b", 250}));
+        const auto steps = *rc::gen::inRange(0U, 40U);
+        for (unsigned step{0}; step < steps; ++step) {
+            now += milliseconds{*rc::gen::inRange(0, 5000)};
+            const auto incarnation = *rc::gen::element(std::string{"b"}, std::string{"c"}, std::string{"d"});
+            const auto startedAt = *rc::gen::inRange<std::uint64_t>(0, incarnation == "b" ? 201 : 1000);
+            const auto verdict
+                = recordAnnouncement(history, makeAnnouncement(incarnation, startedAt, *rc::gen::inRange<std::uint64_t>(1, 99)), now);
+            RC_ASSERT(incarnation != "b" || verdict == announcement_verdict::Stale);
+            static_cast<void>(refuteIncarnation(history, *rc::gen::element(std::string{"c"}, std::string{"d"}), now));
+            RC_ASSERT(!history.latest || history.latest->incarnation != "b" || step == 0 || history.latest->startedAt == 200);
+        }
+    });
 }
