Take the service and address of the target from the settings, and check announcements against them

Cause: a message that anybody can send decided what only the settings can say.

The settings name service and address (`target`). An announcement that contradicts them is refused with 409 and the remedy, counted and logged, and changes nothing; one with unreadable names gets 400. Without a service in the settings, the configuration has to define it. Settings may change without a signal, and addresses go to other services: the file is read every second, and at once when an announcement contradicts it; the node then takes over service, address and seeds, and the previous target gets nothing more. A service in the settings that is no name is refused at the start.

--- a/src/ragwortpin/node/daemon.cpp
+++ b/src/ragwortpin/node/daemon.cpp
@@ -1,7 +1,6 @@
 #include "ragwortpin/node/daemon.h"
 
 #include "ragwortpin/identity/digest.h"
-#include "ragwortpin/runtime/guard.h"
 #include "ragwortpin/runtime/logging.h"
 
 #include <getopt.h>
@@ -96,11 +95,12 @@
 std::optional<std::string> readFile(const std::string &path)
 {
     std::ifstream file{path, std::ios::binary};
-    if (!file) {
-        std::cerr << path << ": cannot read the file; check the path and its permissions\n";
-        return std::nullopt;
-    }
-    return std::string{std::istreambuf_iterator<char>{file}, {}};
+    return file ? std::optional{std::string{std::istreambuf_iterator<char>{file}, {}}} : std::nullopt;
+}
+
+void reportUnreadable(const std::string &path)
+{
+    std::cerr << path << ": cannot read the file; check the path and its permissions\n";
 }
 
 /** Settings, keys and extensions that passed validation. */
@@ -111,13 +111,10 @@
     node_extensions extensions;
 };
 
-std::optional<node_settings> loadSettings(const std::string &path, const extension_reader &extension, node_extensions &extensions)
+std::optional<node_settings>
+parseSettings(const std::string &path, const std::string &text, const extension_reader &extension, node_extensions &extensions)
 {
-    const auto text = readFile(path);
-    if (!text) {
-        return std::nullopt;
-    }
-    const auto parsed = parseNodeSettings(path, *text, [&](yaml_reader &reader, node_settings &settings) {
+    const auto parsed = parseNodeSettings(path, text, [&](yaml_reader &reader, node_settings &settings) {
         if (extension) {
             extensions = extension(reader, settings);
         }
@@ -128,6 +125,49 @@
     return parsed.problems.empty() ? std::optional{parsed.settings} : std::nullopt;
 }
 
+std::optional<node_settings> loadSettings(const std::string &path, const extension_reader &extension, node_extensions &extensions)
+{
+    const auto text = readFile(path);
+    if (!text) {
+        reportUnreadable(path);
+        return std::nullopt;
+    }
+    return parseSettings(path, *text, extension, extensions);
+}
+
+/** Settings file of a running process. It may change at any time, so it is read again and parsed only if its text differs. */
+class settings_file
+{
+public:
+    settings_file(std::string path, extension_reader extension)
+        : m_path{std::move(path)}
+        , m_extension{std::move(extension)}
+        , m_text{readFile(m_path)}
+    { }
+
+    settings_update read()
+    {
+        auto text = readFile(m_path);
+        if (text == m_text) {
+            return {m_isUsable ? settings_state::Unchanged : settings_state::Unusable, {}};
+        }
+        m_text = std::move(text);
+        if (!m_text) {
+            reportUnreadable(m_path);
+        }
+        node_extensions ignored;
+        auto settings = m_text ? parseSettings(m_path, *m_text, m_extension, ignored) : std::nullopt;
+        m_isUsable = settings.has_value();
+        return settings ? settings_update{settings_state::Changed, std::move(*settings)} : settings_update{settings_state::Unusable, {}};
+    }
+
+private:
+    std::string m_path;
+    extension_reader m_extension;
+    std::optional<std::string> m_text;
+    bool m_isUsable{true};
+};
+
 std::optional<signing_keys> loadKeys(const node_settings &settings)
 {
     if (!settings.networkSecret.empty()) {
@@ -135,6 +175,7 @@
     }
     const auto text = readFile(settings.secretFile);
     if (!text) {
+        reportUnreadable(settings.secretFile);
         return std::nullopt;
     }
     const auto secrets = parseSigningKeys(*text);
@@ -158,23 +199,6 @@
     return loaded;
 }
 
-void reload(node &process, const std::string &path, const extension_reader &extension)
-{
-    node_extensions ignored;
-    const auto settings = loadSettings(path, extension, ignored);
-    if (!settings) {
-        logEvent(log_level::Error,
-                 "reload_refused",
-                 {{"remedy", "correct the settings file and reload it; the previous settings remain in force"}});
-        return;
-    }
-    const auto needRestart = process.reload(*settings);
-    logEvent(log_level::Info, "reloaded", {{"file", path}});
-    for (const auto &name : needRestart) {
-        logEvent(log_level::Warning, "setting_needs_restart", {{"setting", name}});
-    }
-}
-
 sigset_t handledSignals()
 {
     sigset_t signals{};
@@ -191,19 +215,19 @@
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
     initialiseLogging(loaded.settings.logLevel);
-    node process{loaded.settings, loaded.keys, std::move(loaded.extensions)};
+    node process{loaded.settings, loaded.keys, std::move(loaded.extensions), [file = settings_file{path, extension}]() mutable {
+                     return file.read();
+                 }};
     if (const auto problem = process.start(); !problem.empty()) {
         std::cerr << problem << '\n';
         return ExitFailure;
     }
-    std::thread{[&process, signals, path, extension] {
+    std::thread{[&process, signals] {
         int received{0};
         for (;;) {
             sigwait(&signals, &received);
             if (received == SIGHUP) {
-                runGuarded("reload", [&] {
-                    reload(process, path, extension);
-                });
+                process.reload();
             } else {
                 process.requestShutdown();
             }
--- a/src/ragwortpin/node/data_plane.cpp
+++ b/src/ragwortpin/node/data_plane.cpp
@@ -283,7 +283,9 @@
 
 void data_plane::handle(operator_event event)
 {
-    if (const auto *announcement = std::get_if<target_announcement>(&event)) {
+    if (const auto *assignment = std::get_if<target_assignment>(&event)) {
+        handleAssignment(*assignment);
+    } else if (const auto *announcement = std::get_if<target_announcement>(&event)) {
         handleAnnouncement(*announcement);
     } else if (const auto *departure = std::get_if<target_departure>(&event)) {
         handleDeparture(*departure);
@@ -314,6 +316,21 @@
     co_return co_await m_rates.take(std::move(workspace), std::move(control));
 }
 
+/** Takes over what the settings say of the target. A target that they no longer name gets no more requests. */
+void data_plane::handleAssignment(const target_assignment &assignment)
+{
+    m_assignment = assignment;
+    const auto &announced = m_target.announced();
+    const bool isOther{announced
+                       && ((!assignment.service.empty() && announced->service != assignment.service)
+                           || (assignment.address && announced->address != *assignment.address))};
+    if (isOther) {
+        m_announcementHistory.latest.reset();
+        m_announcementHistory.rival.reset();
+        startDraining("reassigned");
+    }
+}
+
 void data_plane::handleAnnouncement(const target_announcement &announcement)
 {
     if (recordAnnouncement(m_announcementHistory, announcement, monotonicNow()) == announcement_verdict::Stale) {
@@ -389,8 +406,11 @@
 
 std::string data_plane::ownService() const
 {
+    if (!m_assignment.service.empty()) {
+        return m_assignment.service;
+    }
     const auto &announced = m_target.announced();
-    return announced ? announced->service : m_settings.service;
+    return announced ? announced->service : std::string{};
 }
 
 void data_plane::subscribeTimers()
--- a/src/ragwortpin/node/data_plane.h
+++ b/src/ragwortpin/node/data_plane.h
@@ -97,6 +97,7 @@
     [[nodiscard]] repeat_budget makeFleetRepeatBudget();
     void receiveLoan(const loan_event &loan);
     [[nodiscard]] boost::asio::awaitable<rate_limit_result> takeToken(std::string workspace, std::shared_ptr<call_control> control);
+    void handleAssignment(const target_assignment &assignment);
     void handleAnnouncement(const target_announcement &announcement);
     void applyAnnouncement(const target_announcement &announcement);
     void handleRefutation(const std::string &incarnation);
@@ -142,6 +143,7 @@
     std::atomic<instance_state> m_state{instance_state::Starting};
     std::atomic<bool> m_stopping{false};
     std::optional<instance_record> m_announcedRecord;
+    target_assignment m_assignment{m_settings.target};
     announcement_history m_announcementHistory;
     bool m_targetDraining{false};
     shutdown_progress m_shutdown;
--- a/src/ragwortpin/node/events.h
+++ b/src/ragwortpin/node/events.h
@@ -5,6 +5,7 @@
 #include "ragwortpin/membership/view.h"
 #include "ragwortpin/rights/rights.h"
 #include "ragwortpin/store/store.h"
+#include "ragwortpin/targets/assignment.h"
 #include "ragwortpin/targets/target_gateway.h"
 
 #include <cstdint>
@@ -52,7 +53,7 @@
 { };
 
 /** Events that the admin thread sends to the data thread. */
-using operator_event = std::variant<std::monostate, target_announcement, target_departure, drain_event, shutdown_event>;
+using operator_event = std::variant<std::monostate, target_assignment, target_announcement, target_departure, drain_event, shutdown_event>;
 
 /** Reply to a store call of the workspace rate limiter. */
 struct rate_reply_event
--- a/src/ragwortpin/node/node.cpp
+++ b/src/ragwortpin/node/node.cpp
@@ -27,6 +27,9 @@
 
 constexpr std::size_t SpanCapacity{4096};
 constexpr seconds SpanFlushInterval{1};
+constexpr seconds SettingsCheckInterval{1};
+/** Shortest interval between two checks of the settings file that announcements cause. */
+constexpr milliseconds MinSettingsCheckInterval{100};
 /** Time for the last announcement, that of the state Gone, to be sent before the threads stop. */
 constexpr milliseconds FinalAnnouncementDelay{300};
 
@@ -43,8 +46,10 @@
 class node::impl
 {
 public:
-    impl(node_settings settings, signing_keys keys, node_extensions extensions)
+    impl(node_settings settings, signing_keys keys, node_extensions extensions, settings_source source)
         : m_settings{std::move(settings)}
+        , m_source{std::move(source)}
+        , m_newestSettings{m_settings}
         , m_keys{std::move(keys)}
         , m_extensions{std::move(extensions)}
         , m_spans{m_telemetryContext,
@@ -101,6 +106,7 @@
             m_watch.start();
         }
         m_claims.start();
+        scheduleSettingsCheck();
         m_adminThread = std::thread{[this] {
             runGuardedLoop("operators", m_adminContext);
         }};
@@ -115,16 +121,11 @@
         return {};
     }
 
-    std::vector<std::string> reload(const node_settings &settings)
+    void reload()
     {
-        auto seeds = toPeerAddresses(settings.seeds);
-        if (!seeds.empty() && !m_control.setSeeds(std::move(seeds))) {
-            logEvent(log_level::Warning, "seeds_dropped", {{"remedy", "reload the settings again"}});
-        }
-        auto changed = settings;
-        changed.seeds = m_settings.seeds;
-        changed.headers = m_settings.headers;
-        return changed == m_settings ? std::vector<std::string>{} : changedSettings(m_settings, changed);
+        boost::asio::post(m_adminContext, [this] {
+            checkSettings(true);
+        });
     }
 
     void requestShutdown()
@@ -331,7 +332,7 @@
                     },
                 .announce =
                     [this](target_announcement announcement) {
-                        return m_data.fromOperators.trySend(std::move(announcement));
+                        return announce(std::move(announcement));
                     },
                 .drain =
                     [this] {
@@ -352,6 +353,100 @@
                     }};
     }
 
+    /**
+     * Queues an announcement that can be one of the target beside this node. An announcement that contradicts the settings may follow a
+     * change of the file, which is therefore read first. Called on the admin thread.
+     */
+    std::error_code announce(target_announcement announcement)
+    {
+        const auto index = m_configuration.load();
+        auto error = checkAnnouncement(announcement, m_newestSettings.target, index.get());
+        const auto now = monotonicNow();
+        if (error && now - m_settingsCheckedAt >= MinSettingsCheckInterval) {
+            checkSettings(false);
+            error = checkAnnouncement(announcement, m_newestSettings.target, index.get());
+        }
+        if (!error && !(sendAssignment() && m_data.fromOperators.trySend(announcement))) {
+            error = announcement_errc::NodeBusy;
+        }
+        if (error) {
+            m_refusedAnnouncements.add();
+            logEvent(log_level::Warning,
+                     "announcement_refused",
+                     {{"incarnation", announcement.incarnation},
+                      {"service", announcement.service},
+                      {"address", toText(announcement.address)},
+                      {"assigned_service", m_newestSettings.target.service},
+                      {"problem", error.message()}});
+        }
+        return error;
+    }
+
+    void scheduleSettingsCheck()
+    {
+        m_settingsTimer.expires_after(SettingsCheckInterval);
+        m_settingsTimer.async_wait([this](boost::system::error_code error) {
+            if (!error) {
+                scheduleSettingsCheck();
+                checkSettings(false);
+            }
+        });
+    }
+
+    /** Reads the settings again and applies what has changed. Called on the admin thread. */
+    void checkSettings(bool isRequested)
+    {
+        m_settingsCheckedAt = monotonicNow();
+        auto update = m_source ? m_source() : settings_update{};
+        const bool wasUsable{m_areSettingsUsable};
+        m_areSettingsUsable = update.state != settings_state::Unusable;
+        if (!m_areSettingsUsable) {
+            if (wasUsable || isRequested) {
+                logEvent(
+                    log_level::Error, "reload_refused", {{"remedy", "correct the settings file; the previous settings remain in force"}});
+            }
+            return;
+        }
+        if (update.state == settings_state::Changed) {
+            m_newestSettings = std::move(update.settings);
+        }
+        if (update.state == settings_state::Changed || isRequested) {
+            applySettings();
+        }
+        if (!sendAssignment()) {
+            logEvent(log_level::Warning, "target_assignment_delayed", {{"remedy", "none needed; it is sent again within a second"}});
+        }
+    }
+
+    void applySettings()
+    {
+        auto seeds = toPeerAddresses(m_newestSettings.seeds);
+        if (!seeds.empty() && !m_control.setSeeds(std::move(seeds))) {
+            logEvent(log_level::Warning, "seeds_dropped", {{"remedy", "reload the settings again"}});
+        }
+        auto changed = m_newestSettings;
+        changed.seeds = m_settings.seeds;
+        changed.headers = m_settings.headers;
+        changed.target = m_settings.target;
+        logEvent(log_level::Info, "reloaded", {{"service", m_newestSettings.target.service}});
+        for (const auto &name : changedSettings(m_settings, changed)) {
+            logEvent(log_level::Warning, "setting_needs_restart", {{"setting", name}});
+        }
+    }
+
+    /** Sends the assignment of the target to the data thread if it has changed. Returns false if it could not be queued. */
+    bool sendAssignment()
+    {
+        if (m_newestSettings.target == m_sentAssignment) {
+            return true;
+        }
+        if (!m_data.fromOperators.trySend(m_newestSettings.target)) {
+            return false;
+        }
+        m_sentAssignment = m_newestSettings.target;
+        return true;
+    }
+
     bool applyConfiguration(const configuration_content &content)
     {
         std::error_code error;
@@ -448,12 +543,20 @@
     }
 
     node_settings m_settings;
+    settings_source m_source;
+    /** Settings that were read last, the assignment of the target that the data thread has, and when the file was checked. */
+    node_settings m_newestSettings;
+    target_assignment m_sentAssignment{m_settings.target};
+    time_point m_settingsCheckedAt{monotonicNow()};
+    bool m_areSettingsUsable{true};
     signing_keys m_keys;
     node_extensions m_extensions;
     metrics_registry m_metrics;
     snapshot<configuration_index> m_configuration;
     boost::asio::io_context m_adminContext{1};
     work_guard m_adminWork{m_adminContext.get_executor()};
+    boost::asio::steady_timer m_settingsTimer{m_adminContext};
+    counter &m_refusedAnnouncements{m_metrics.counterFor("ragwortpin_announcements_refused_total")};
     boost::asio::io_context m_telemetryContext{1};
     boost::asio::steady_timer m_spanTimer{m_telemetryContext};
     std::unique_ptr<span_exporter> m_exporter;
@@ -472,8 +575,8 @@
     std::thread m_telemetryThread;
 };
 
-node::node(node_settings settings, signing_keys keys, node_extensions extensions)
-    : m_impl{std::make_unique<impl>(std::move(settings), std::move(keys), std::move(extensions))}
+node::node(node_settings settings, signing_keys keys, node_extensions extensions, settings_source source)
+    : m_impl{std::make_unique<impl>(std::move(settings), std::move(keys), std::move(extensions), std::move(source))}
 { }
 
 node::~node() = default;
@@ -483,9 +586,9 @@
     return m_impl->start();
 }
 
-std::vector<std::string> node::reload(const node_settings &settings)
+void node::reload()
 {
-    return m_impl->reload(settings);
+    m_impl->reload();
 }
 
 void node::requestShutdown()
--- a/src/ragwortpin/node/node.h
+++ b/src/ragwortpin/node/node.h
@@ -44,7 +44,8 @@
 class node
 {
 public:
-    node(node_settings settings, signing_keys keys, node_extensions extensions = {});
+    /** The source may be empty; otherwise it is called on one thread, about once a second and with each reload(). */
+    node(node_settings settings, signing_keys keys, node_extensions extensions = {}, settings_source source = {});
     node(const node &) = delete;
     node &operator=(const node &) = delete;
     ~node();
@@ -52,8 +53,11 @@
     /** Binds all addresses and starts all threads. Returns an error message; empty on success. */
     [[nodiscard]] std::string start();
 
-    /** Applies the settings that can change at run time, which are the seeds. Returns the names of changed settings that need a restart. */
-    [[nodiscard]] std::vector<std::string> reload(const node_settings &settings);
+    /**
+     * Reads the settings again and applies those that can change at run time, which are the seeds and the target. Logs the names of
+     * changed settings that need a restart. The node also does so by itself when the file changes. May be called from any thread.
+     */
+    void reload();
 
     /** Begins a graceful shutdown. May be called from any thread, but not from a signal handler. */
     void requestShutdown();
--- a/src/ragwortpin/node/settings.cpp
+++ b/src/ragwortpin/node/settings.cpp
@@ -1,6 +1,7 @@
 #include "ragwortpin/node/settings.h"
 
 #include "ragwortpin/config/yaml_reader.h"
+#include "ragwortpin/core/names.h"
 
 #include <algorithm>
 #include <array>
@@ -208,6 +209,18 @@
     section->finish();
 }
 
+void readTarget(yaml_reader &reader, target_assignment &target)
+{
+    target.service = reader.readString("service", "");
+    if (!target.service.empty() && !isName(target.service)) {
+        reader.report("service", "the name is not UTF-8 or is too long", "write 1 to 128 bytes of UTF-8 without control characters");
+        target.service.clear();
+    }
+    if (reader.has("target")) {
+        target.address = readEndpoint(reader, "target");
+    }
+}
+
 log_level readLogLevel(yaml_reader &reader)
 {
     const auto text = reader.readString("log_level", "info");
@@ -241,7 +254,7 @@
     settings.seeds = readEndpoints(reader, "seeds");
     settings.networkSecret = reader.readString("network_secret", "");
     settings.secretFile = settings.networkSecret.empty() ? reader.readString("secret_file") : reader.readString("secret_file", "");
-    settings.service = reader.readString("service", "");
+    readTarget(reader, settings.target);
     settings.discoveryPrefix = reader.readString("discovery_prefix", "");
     readOverload(reader, settings.overload);
     readConfigurationSettings(reader, settings.configuration);
--- a/src/ragwortpin/node/settings.h
+++ b/src/ragwortpin/node/settings.h
@@ -11,6 +11,7 @@
 #include "ragwortpin/node/fwd.h"
 #include "ragwortpin/overload/repeats.h"
 #include "ragwortpin/runtime/logging.h"
+#include "ragwortpin/targets/assignment.h"
 
 #include <functional>
 #include <optional>
@@ -120,8 +121,8 @@
     std::string secretFile;
     /** Replaces the secret file in an isolated network. It only prevents nodes of different fleets from joining each other by mistake. */
     std::string networkSecret;
-    /** Service of the target beside the node. If empty, the announcements of the target determine it. */
-    std::string service;
+    /** Target beside the node. What is not set here, the announcements of the target determine. */
+    target_assignment target;
     /**
      * Prefix of the store keys under which nodes register and discover each other. Empty disables discovery, so that only the
      * seeds are used.
@@ -156,6 +157,26 @@
     bool operator==(const node_settings_result &) const = default;
 };
 
+/** Outcome of reading the settings file again. */
+enum class settings_state : unsigned char {
+    /** The file is as it was when it was last read. */
+    Unchanged,
+    /** The file has changed and is valid. */
+    Changed,
+    /** The file cannot be read or is invalid. */
+    Unusable,
+};
+
+/** Settings that were read again; they have a meaning in the state Changed only. */
+struct settings_update
+{
+    settings_state state{settings_state::Unchanged};
+    node_settings settings;
+};
+
+/** Reads the settings file again. */
+using settings_source = std::function<settings_update()>;
+
 /** Reads the fields that a program adds to the settings file. */
 using settings_extension = std::function<void(yaml_reader &reader, node_settings &settings)>;
 
--- a/src/ragwortpin/operators/admin_server.cpp
+++ b/src/ragwortpin/operators/admin_server.cpp
@@ -188,7 +188,11 @@
                 http::status::bad_request,
                 "send a JSON object with service, address (IP number), port, slots and connections (whole numbers from 1)");
         }
-        return acceptanceResponse(m_services.announce(*announcement));
+        const auto error = m_services.announce(*announcement);
+        if (error && error != announcement_errc::NodeBusy) {
+            return errorResponse(http::status::conflict, error.message());
+        }
+        return acceptanceResponse(!error);
     }
     if (path == "/target/load") {
         const auto inFlight = object ? readCount(*object, "in_flight", 0, std::numeric_limits<std::uint32_t>::max()) : std::nullopt;
--- a/src/ragwortpin/operators/admin_server.h
+++ b/src/ragwortpin/operators/admin_server.h
@@ -4,6 +4,7 @@
 #include "ragwortpin/http/server.h"
 #include "ragwortpin/membership/view.h"
 #include "ragwortpin/runtime/metrics.h"
+#include "ragwortpin/targets/assignment.h"
 #include "ragwortpin/targets/target_gateway.h"
 
 #include <cstdint>
@@ -42,8 +43,9 @@
 struct admin_callbacks
 {
     std::function<node_status()> status;
-    /** announce, drain, depart and reportLoad return false when the node cannot queue the message; the target then sends it again. */
-    std::function<bool(target_announcement)> announce;
+    /** Returns why the announcement is refused; see announcement_errc. After NodeBusy the target sends it again. */
+    std::function<std::error_code(target_announcement)> announce;
+    /** drain, depart and reportLoad return false when the node cannot queue the message; the target then sends it again. */
     std::function<bool()> drain;
     std::function<bool(target_departure)> depart{};
     /** Returns whether the node is ready to receive calls. */
--- a/src/ragwortpin/targets/fwd.h
+++ b/src/ragwortpin/targets/fwd.h
@@ -8,6 +8,8 @@
 struct target_options;
 struct announcement_history;
 enum class announcement_verdict : unsigned char;
+enum class announcement_errc;
+struct target_assignment;
 struct target_start;
 struct refuted_start;
 struct rival_announcement;
--- a/tests/operators/admin_server_test.cpp
+++ b/tests/operators/admin_server_test.cpp
@@ -38,11 +38,13 @@
                              [&status] {
                                  return status;
                              },
-                         .announce =
-                             [&](target_announcement value) {
-                                 announcements.push_back(std::move(value));
-                                 return accepts;
-                             },
+                         .announce = [&](target_announcement value) -> std::error_code {
+                             if (value.service == "foreign") {
+                                 return announcement_errc::OtherService;
+                             }
+                             announcements.push_back(std::move(value));
+                             return accepts ? std::error_code{} : announcement_errc::NodeBusy;
+                         },
                          .drain =
                              [&accepts] {
                                  return accepts;
@@ -61,6 +63,11 @@
         {"unknown path", http::verb::get, "/nothing", "", 404},
         {"unknown method", http::verb::put, "/status", "", 405},
         {"announcement", http::verb::post, "/target/announce", announcement, 204},
+        {"announcement of another service",
+         http::verb::post,
+         "/target/announce",
+         R"({"service":"foreign","slots":35,"connections":300,"address":"127.0.0.1","port":9100})",
+         409},
         {"announcement without body", http::verb::post, "/target/announce", "", 400},
         {"announcement with a host name",
          http::verb::post,
--- a/tests/platform/announcements_test.cpp
+++ b/tests/platform/announcements_test.cpp
@@ -33,9 +33,12 @@
     admin_callbacks services()
     {
         admin_callbacks result;
-        result.announce = [this](target_announcement announcement) {
+        result.announce = [this](target_announcement announcement) -> std::error_code {
+            if (announcement.service == "foreign") {
+                return announcement_errc::OtherService;
+            }
             announced.push_back(std::move(announcement));
-            return acceptsMessages;
+            return acceptsMessages ? std::error_code{} : announcement_errc::NodeBusy;
         };
         result.depart = [this](target_departure departure) {
             departed.push_back(std::move(departure));
@@ -92,6 +95,13 @@
         {"slots as text", replaced(Heartbeat, "\"slots\":72", "\"slots\":\"72\""), "slots"},
         {"negative slots", replaced(Heartbeat, "\"slots\":72", "\"slots\":-72"), "slots"},
         {"unknown state", replaced(Heartbeat, "\"ready\"", "\"resting\""), "state"},
+        {"bytes that are no UTF-8", replaced(Heartbeat, "clips", "\xed\xa0\x80"), "UTF-8"},
+        {"low surrogate", replaced(Heartbeat, "clips", "\\udc00"), "UTF-8"},
+        {"high surrogate", replaced(Heartbeat, "clips", "\\ud800"), "JSON"},
+        {"line end in the service", replaced(Heartbeat, "clips", "clips\\r\\nX: y"), "control"},
+        {"NUL in the service", replaced(Heartbeat, "clips", "cl\\u0000ips"), "control"},
+        {"service that is too long", replaced(Heartbeat, "clips", std::string(129, 'x')), "128"},
+        {"empty service", replaced(Heartbeat, "clips", ""), "service"},
         {"no sequence", replaced(Heartbeat, "\"sequence\":4", "\"sequence\":null"), "sequence"},
     };
     for (const auto &entry : cases) {
@@ -111,6 +121,8 @@
     CHECK(node.statusOf(http::verb::post, "/-/Instances.Heartbeat/i-7f", Heartbeat) == 200);
     CHECK(node.announced.size() == 1);
     CHECK(node.statusOf(http::verb::post, "/-/Instances.Heartbeat/i-7f", "{}") == 400);
+    CHECK(node.statusOf(http::verb::post, "/-/Instances.Heartbeat/i-7f", replaced(Heartbeat, "clips", "foreign")) == 409);
+    CHECK(node.statusOf(http::verb::post, "/-/Instances.Heartbeat/i\xed\xa0\x80", Heartbeat) == 400);
     CHECK(node.statusOf(http::verb::post, "/-/Instances.Deregister/i-7f") == 200);
     REQUIRE(node.departed.size() == 1);
     CHECK(node.departed.front().incarnation == "i-7f");
--- a/tests/platform/malformed_input_test.cpp
+++ b/tests/platform/malformed_input_test.cpp
@@ -41,7 +41,7 @@
 {
     admin_callbacks services;
     services.announce = [](const target_announcement &) {
-        return true;
+        return std::error_code{};
     };
     http_request request{http::verb::post, "/-/Instances.Heartbeat/i-1", 11};
     request.body() = body;
--- a/tests/system/foreign_announcement_test.cpp
+++ b/tests/system/foreign_announcement_test.cpp
@@ -56,6 +56,13 @@
                          .startedAt = startedAt});
     }
 
+    /** Writes settings that name another service, without a signal to the process. */
+    void changeService(const std::string &service)
+    {
+        spec.service = service;
+        host.writeFile("node.yaml", settingsOf(spec, StoreIp));
+    }
+
     test_response send(http::verb method, const std::string &route, const std::string &id)
     {
         return host.request(method,
@@ -146,3 +153,38 @@
     CHECK(answer.status == 200);
     CHECK(fleet.back.target.runs().back() == target_run{"chosen", "profiles", "family"});
 }
+
+TEST_CASE("a heartbeat with the id of another incarnation takes the target out for two seconds at most")
+{
+    fleet_fixture fleet;
+    CHECK(fleet.front.announce({.id = "i-other", .service = "profiles", .address = "127.0.30.2:8547", .startedAt = wallClockMilliseconds()})
+          == 200);
+    CHECK(fleet.back.send(http::verb::get, "look", "refutes").status == 503);
+    const auto refutedAt = monotonicNow();
+    fleet.back.host.waitUntil("the target serves again", [&fleet] {
+        return fleet.back.send(http::verb::get, "look", "again").status == 200;
+    });
+    constexpr milliseconds Limit{3000};
+    CHECK(monotonicNow() - refutedAt < Limit);
+}
+
+TEST_CASE("a machine whose settings change without a signal takes the new service and runs nothing of the old one")
+{
+    fleet_fixture fleet;
+    fleet.front.changeService("bookings");
+    fleet.back.changeService("profiles");
+    fleet.front.host.waitUntil("both machines serve the other service", [&fleet] {
+        for (auto *machine : {&fleet.front, &fleet.back}) {
+            machine->startedAt = wallClockMilliseconds();
+            static_cast<void>(machine->announceTarget());
+        }
+        return fleet.back.send(http::verb::post, "book", "ready").status == 200
+            && fleet.front.send(http::verb::get, "look", "ready").status == 200;
+    });
+    const auto before = fleet.back.target.runs().size();
+    CHECK(fleet.front.send(http::verb::get, "look", "after").status == 200);
+    const auto runs = fleet.back.target.runs();
+    REQUIRE(runs.size() == before + 1);
+    CHECK(runs.back() == target_run{"after", "bookings", "family"});
+    CHECK(fleet.front.announce({.id = "i-front", .service = "profiles", .address = "127.0.30.2:8547", .sequence = 99}) == 409);
+}
