Prove what a request for the target rests on after each wait, and tell its queue when that ends

Cause: service, drain and incarnation were checked before a request waited for a slot, and not when its bytes went out.

findObstacle() says what a send rests on; it is asked before the first wait, when a slot is given, and once a connection is there, right before the first byte, where the deadline field is written too. A drain, another service at the address or a 421 ends the wait of the requests that rest on it; they go back as not run.

--- a/src/ragwortpin/http/client_pool.cpp
+++ b/src/ragwortpin/http/client_pool.cpp
@@ -115,6 +115,9 @@
             co_return result;
         }
     }
+    if (options.prepare && !options.prepare(request)) {
+        co_return result;
+    }
     control->onCancel([open] {
         open->stream.close();
     });
--- a/src/ragwortpin/http/client_pool.h
+++ b/src/ragwortpin/http/client_pool.h
@@ -12,6 +12,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -56,6 +57,11 @@
      * on a reused connection. On a new connection, an error response without an id is accepted.
      */
     std::string expectedId{};
+    /**
+     * Called once a connection is there, right before the first byte is written. It may change the request. If it returns false, nothing is
+     * sent, the connection is closed, and the result is NotSent without an error. Empty if the request is sent in any case.
+     */
+    std::function<bool(http_request &)> prepare{};
 };
 
 /**
--- a/src/ragwortpin/targets/target_gateway.cpp
+++ b/src/ragwortpin/targets/target_gateway.cpp
@@ -58,7 +58,12 @@
     , m_unknown{metrics.counterFor("ragwortpin_target_requests_total{outcome=\"unknown\"}")}
     , m_queueTime{metrics.distributionFor("ragwortpin_target_queue_seconds")}
     , m_targetTime{metrics.distributionFor("ragwortpin_target_answer_seconds")}
-{ }
+{
+    for (const auto obstacle : SendObstacles) {
+        const auto name = "ragwortpin_target_sends_stopped_total{reason=\"" + std::string{toToken(obstacle)} + "\"}";
+        m_stopped[static_cast<std::size_t>(obstacle)] = &metrics.counterFor(name);
+    }
+}
 
 void target_gateway::announce(const target_announcement &announcement, time_point now)
 {
@@ -75,16 +80,43 @@
     }
     m_targetReplaced = false;
     m_announcement = announcement;
+    withdrawWaiting();
+}
+
+void target_gateway::startDraining()
+{
+    m_draining = true;
+    withdrawWaiting();
+}
+
+std::optional<send_obstacle> target_gateway::findObstacleTo(const send_conditions &conditions) const
+{
+    return findObstacle(conditions, {m_announcement, m_draining, m_targetReplaced}, monotonicNow());
+}
+
+/** Ends the wait of the requests that the target may not run any more, so that they can go elsewhere at once. */
+void target_gateway::withdrawWaiting()
+{
+    std::vector<request_id> withdrawn;
+    for (const auto &[id, waiter] : m_waiters) {
+        const auto obstacle = findObstacleTo(waiter->conditions);
+        if (obstacle && *obstacle != send_obstacle::DeadlineExceeded) {
+            withdrawn.push_back(id);
+        }
+    }
+    for (const auto id : withdrawn) {
+        applyAdmissionChanges(cancel(*m_admission, id, monotonicNow()));
+        endWait(id, slot_state::Withdrawn);
+    }
 }
 
 boost::asio::awaitable<call_answer> target_gateway::run(inbound_call call, double weight)
 {
     call.requestId = std::string{call.request[m_options.headers.requestId]};
-    if (m_draining) {
-        co_return refuse(refusal_kind::Draining, call);
-    }
-    if (!m_admission || m_targetReplaced || m_announcement->service != call.definition.service) {
-        co_return refuse(refusal_kind::NotReady, call);
+    const send_conditions conditions{call.definition.service, std::nullopt, {}, call.deadline};
+    const auto obstacle = findObstacleTo(conditions);
+    if (obstacle && *obstacle != send_obstacle::DeadlineExceeded) {
+        co_return refuse(toRefusal(*obstacle), call);
     }
     const auto id = ++m_lastId;
     const auto arrivedAt = monotonicNow();
@@ -105,10 +137,13 @@
         co_return refuse(decision.refusal, call);
     }
     if (decision.verdict == admission_verdict::Queued) {
-        const auto state = co_await waitForSlot(id, call.control);
+        const auto state = co_await waitForSlot(id, call.control, conditions);
         if (state == slot_state::Cancelled) {
             co_return refuse(refusal_kind::Cancelled, call);
         }
+        if (state == slot_state::Withdrawn) {
+            co_return refuseSend(findObstacleTo(conditions).value_or(send_obstacle::NotReady), call);
+        }
         if (state != slot_state::Granted) {
             co_return refuse(state == slot_state::Expired ? refusal_kind::DeadlineExceeded : refusal_kind::Overloaded, call);
         }
@@ -142,9 +177,10 @@
     }
 }
 
-boost::asio::awaitable<target_gateway::slot_state> target_gateway::waitForSlot(request_id id, std::shared_ptr<call_control> control)
+boost::asio::awaitable<target_gateway::slot_state>
+target_gateway::waitForSlot(request_id id, std::shared_ptr<call_control> control, send_conditions conditions)
 {
-    auto waiter = std::make_shared<slot_waiter>(m_context);
+    auto waiter = std::make_shared<slot_waiter>(m_context, std::move(conditions));
     m_waiters.emplace(id, waiter);
     control->onCancel([this, id] {
         applyAdmissionChanges(cancel(*m_admission, id, monotonicNow()));
@@ -159,6 +195,10 @@
 
 boost::asio::awaitable<call_answer> target_gateway::exchangeWithTarget(inbound_call &call, request_id id)
 {
+    if (const auto obstacle = findObstacleTo({call.definition.service, std::nullopt, {}, call.deadline})) {
+        applyAdmissionChanges(cancel(*m_admission, id, monotonicNow()));
+        co_return refuseSend(*obstacle, call);
+    }
     const auto startedAt = monotonicNow();
     const auto startedAtWallClock = wallClockNow();
     const auto parentSpanId = call.context.trace.spanId;
@@ -178,6 +218,14 @@
     if (!call.definition.retryable) {
         options.maxIdleTime = m_options.maxIdleNonRetryable;
     }
+    std::optional<send_obstacle> obstacle;
+    const send_conditions conditions{call.definition.service, incarnation, address, call.deadline};
+    options.prepare = [this, &obstacle, &conditions](http_request &message) {
+        obstacle = findObstacleTo(conditions);
+        const auto remaining = toWholeMilliseconds(remainingForCallee(conditions.deadline, monotonicNow()));
+        message.set(m_options.headers.deadline, std::to_string(remaining.count()));
+        return !obstacle;
+    };
     auto message = toTargetRequest(call, token, startedAt);
     auto result = co_await m_client.exchange(address, std::move(message), call.deadline, call.control, std::move(options));
     m_inFlight.remove(token);
@@ -187,9 +235,9 @@
         request->downstreamTime += monotonicNow() - request->callsActiveSince;
     }
     cancelCalls(*request);
-    releaseSlot(id, *request, result, call.control->cancelled());
+    releaseSlot(id, *request, result, call.control->cancelled() || obstacle.has_value());
     m_targetTime.record(monotonicNow() - startedAt);
-    auto answer = toAnswer(std::move(result), call, *request, incarnation);
+    auto answer = obstacle ? refuseSend(*obstacle, call) : toAnswer(std::move(result), call, *request, incarnation);
     logOutcome(call, answer, monotonicNow() - startedAt);
     if (call.context.trace.sampled) {
         m_spans(span{.trace = call.context.trace,
@@ -246,6 +294,13 @@
     return answer;
 }
 
+/** Refuses a request whose send was stopped. It has not run, and its sender may send it elsewhere. */
+call_answer target_gateway::refuseSend(send_obstacle obstacle, const inbound_call &call)
+{
+    m_stopped[static_cast<std::size_t>(obstacle)]->add();
+    return refuse(toRefusal(obstacle), call);
+}
+
 /** Logs the state of the last hop for each request that was refused or that the target answered with a server error. */
 void target_gateway::logOutcome(const inbound_call &call, const call_answer &answer, duration elapsed) const
 {
@@ -277,6 +332,7 @@
     if (m_announcement->incarnation == incarnation) {
         m_targetReplaced = true;
         m_options.refuted(incarnation);
+        withdrawWaiting();
     }
 }
 
--- a/src/ragwortpin/targets/target_gateway.h
+++ b/src/ragwortpin/targets/target_gateway.h
@@ -11,6 +11,7 @@
 #include "ragwortpin/runtime/metrics.h"
 #include "ragwortpin/targets/announcement.h"
 #include "ragwortpin/targets/in_flight.h"
+#include "ragwortpin/targets/send_check.h"
 #include "ragwortpin/telemetry/span.h"
 
 #include <utility>
@@ -18,6 +19,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -65,11 +67,8 @@
      */
     void announce(const target_announcement &announcement, time_point now);
 
-    /** Refuses new requests with refusal_kind::Draining until stopDraining() is called. */
-    void startDraining() noexcept
-    {
-        m_draining = true;
-    }
+    /** Refuses new requests and those that wait for a slot with refusal_kind::Draining until stopDraining() is called. */
+    void startDraining();
 
     /** Accepts requests again, after a new announcement of the target. */
     void stopDraining() noexcept
@@ -147,6 +146,8 @@
         Displaced,
         Expired,
         Cancelled,
+        /** The target may not run the request any more. */
+        Withdrawn,
     };
 
     /** Request that is running at the target. */
@@ -159,15 +160,21 @@
     /** Queued request that waits for a slot. */
     struct slot_waiter
     {
-        explicit slot_waiter(boost::asio::io_context &context)
+        slot_waiter(boost::asio::io_context &context, send_conditions awaited)
             : changed{context}
+            , conditions{std::move(awaited)}
         { }
 
         slot_state state{slot_state::Waiting};
         async_signal changed;
+        send_conditions conditions;
     };
 
-    [[nodiscard]] boost::asio::awaitable<slot_state> waitForSlot(request_id id, std::shared_ptr<call_control> control);
+    [[nodiscard]] boost::asio::awaitable<slot_state>
+    waitForSlot(request_id id, std::shared_ptr<call_control> control, send_conditions conditions);
+    [[nodiscard]] std::optional<send_obstacle> findObstacleTo(const send_conditions &conditions) const;
+    [[nodiscard]] call_answer refuseSend(send_obstacle obstacle, const inbound_call &call);
+    void withdrawWaiting();
     [[nodiscard]] boost::asio::awaitable<call_answer> exchangeWithTarget(inbound_call &call, request_id id);
     [[nodiscard]] call_answer refuse(refusal_kind kind, const inbound_call &call);
     [[nodiscard]] http_request toTargetRequest(inbound_call &call, const std::string &token, time_point now) const;
@@ -199,6 +206,8 @@
     counter &m_ran;
     counter &m_notRun;
     counter &m_unknown;
+    /** Requests that were stopped before they were sent, by send_obstacle. */
+    std::array<counter *, SendObstacles.size()> m_stopped{};
     distribution &m_queueTime;
     distribution &m_targetTime;
 };
--- a/tests/http/client_pool_test.cpp
+++ b/tests/http/client_pool_test.cpp
@@ -76,6 +76,36 @@
     CHECK(exchangeWith(context, server.address(), -seconds{1}).progress == exchange_progress::NotSent);
 }
 
+TEST_CASE("an exchange whose preparation fails sends nothing, and one that changes the request sends the change")
+{
+    boost::asio::io_context context{1};
+    std::vector<std::string> received;
+    http_server server{context,
+                       {},
+                       [&](http_request request, const std::shared_ptr<call_control> &) -> boost::asio::awaitable<http_response> {
+                           received.emplace_back(request["X-Change"]);
+                           co_return makeResponse(http::status::ok, "text/plain", "fine");
+                       },
+                       [](refusal_kind) {}};
+    REQUIRE_FALSE(server.listen({"127.0.0.1", 0}));
+    const endpoint address{"127.0.0.1", server.port()};
+    http_client_pool pool{context, {}};
+    runOn(context, [&]() -> boost::asio::awaitable<void> {
+        for (const bool isSent : {true, false, true}) {
+            auto control = std::make_shared<call_control>();
+            exchange_options options;
+            options.prepare = [isSent](http_request &request) {
+                request.set("X-Change", "made");
+                return isSent;
+            };
+            const auto result = co_await pool.exchange(address, getRequest(), monotonicNow() + Generous, control, options);
+            CHECK(result.progress == (isSent ? exchange_progress::Answered : exchange_progress::NotSent));
+            CHECK_FALSE(result.error);
+        }
+    });
+    CHECK(received == std::vector<std::string>{"made", "made"});
+}
+
 TEST_CASE("a cancelled exchange closes its connection, and a completed one keeps it open")
 {
     boost::asio::io_context context{1};
--- a/tests/targets/target_gateway_test.cpp
+++ b/tests/targets/target_gateway_test.cpp
@@ -12,7 +12,9 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <functional>
 #include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -44,6 +46,22 @@
         gateway.announce({"clips", {"127.0.0.1", target.port()}, slots, slots}, monotonicNow());
     }
 
+    /** Announces a target of the given service and incarnation at the same address. */
+    void announce(const std::string &service, const std::string &incarnation)
+    {
+        auto announcement = *gateway.announced();
+        announcement.service = service;
+        announcement.incarnation = incarnation;
+        gateway.announce(announcement, monotonicNow());
+    }
+
+    /** Runs the context for as long as bytes take over loopback. */
+    void settle()
+    {
+        context.restart();
+        context.run_for(milliseconds{3});
+    }
+
     boost::asio::awaitable<http_response> answer(http_request request)
     {
         for (const auto &field : request) {
@@ -183,3 +201,113 @@
     CHECK(refused->unusedAllowance == 3);
     CHECK(fixture.heldResponses.empty());
 }
+
+TEST_CASE("requests that wait for a slot learn at once that their target may not run them")
+{
+    struct withdrawal_case
+    {
+        std::string name;
+        std::function<void(gateway_fixture &)> event;
+        refusal_kind refusal;
+    };
+    const std::vector<withdrawal_case> cases{
+        {"the target drains",
+         [](gateway_fixture &fixture) {
+             fixture.gateway.startDraining();
+         },
+         refusal_kind::Draining},
+        {"a target of another service has the address",
+         [](gateway_fixture &fixture) {
+             fixture.announce("packages", "i-2");
+         },
+         refusal_kind::NotReady},
+    };
+    for (const auto &entry : cases) {
+        CAPTURE(entry.name);
+        gateway_fixture fixture{1};
+        const auto running = fixture.startCall(1);
+        const auto queued = fixture.startCall(1);
+        REQUIRE(fixture.runUntil([&] {
+            return fixture.heldResponses.size() == 1 && fixture.gateway.requests() == 2;
+        }));
+        entry.event(fixture);
+        REQUIRE(fixture.runUntil([&] {
+            return fixture.isAnswered(queued);
+        }));
+        CHECK(queued->refusal == entry.refusal);
+        CHECK(queued->result == outcome::NotRun);
+        fixture.heldResponses.front()->notifyAll();
+        REQUIRE(fixture.runUntil([&] {
+            return fixture.isAnswered(running);
+        }));
+        CHECK(running->result == outcome::Ran);
+        CHECK(fixture.heldResponses.size() == 1);
+        CHECK(fixture.gateway.requests() == 0);
+    }
+}
+
+TEST_CASE("nothing reaches a target after an event that forbids it, at any moment of a request")
+{
+    constexpr std::uint64_t Seeds{40};
+    constexpr unsigned Steps{30};
+    constexpr std::uint32_t Slots{2};
+    for (std::uint64_t seed{1}; seed <= Seeds; ++seed) {
+        CAPTURE(seed);
+        std::mt19937_64 random{seed};
+        gateway_fixture fixture{Slots};
+        std::vector<std::shared_ptr<call_answer>> calls;
+        bool isForbidden{false};
+        for (unsigned step{0}; step < Steps; ++step) {
+            switch (random() % 5) {
+            case 0:
+                fixture.gateway.startDraining();
+                isForbidden = true;
+                break;
+            case 1:
+                fixture.announce("packages", "i-" + std::to_string(step));
+                isForbidden = true;
+                break;
+            case 2:
+                fixture.announce("clips", "i-" + std::to_string(step));
+                fixture.gateway.stopDraining();
+                isForbidden = false;
+                break;
+            case 3:
+                for (const auto &held : fixture.heldResponses) {
+                    held->notifyAll();
+                }
+                break;
+            default:
+                calls.push_back(fixture.startCall(1));
+                calls.push_back(fixture.startCall(1));
+                break;
+            }
+            if (random() % 2 == 0) {
+                fixture.context.restart();
+                fixture.context.poll_one();
+                continue;
+            }
+            // Whatever was sent before the event arrives now; nothing may follow.
+            fixture.settle();
+            const auto arrivals = fixture.heldResponses.size();
+            for (const auto &held : fixture.heldResponses) {
+                held->notifyAll();
+            }
+            fixture.settle();
+            CHECK((!isForbidden || fixture.heldResponses.size() == arrivals));
+        }
+        REQUIRE(fixture.runUntil([&] {
+            for (const auto &held : fixture.heldResponses) {
+                held->notifyAll();
+            }
+            return std::all_of(calls.begin(), calls.end(), [&fixture](const auto &call) {
+                return fixture.isAnswered(call);
+            });
+        }));
+        const auto ran = std::count_if(calls.begin(), calls.end(), [](const auto &call) {
+            return call->result == outcome::Ran;
+        });
+        CHECK(static_cast<std::size_t>(ran) == fixture.heldResponses.size());
+        CHECK(fixture.gateway.requests() == 0);
+    }
+}
