Bound chunk sizes, chunk extensions and trailers of every message that is read

Cause: the parser bounds the header section and the body, nothing else, and the buffer in front of it grew with every line that did not end.

readBounded() is the one place where the caller listener, the client pool (targets, peers, store) and control calls read a message. What is neither header section nor body may be 64 KiB and eight times the body (the framing of chunks of one byte is six times it), and a line no longer than the buffer. A listener answers 431; an answer of a target counts as lost. Ruled out: a limit on the time alone, since the link fills the memory within a second.

The new rows of the framing table in test_http (8 MB of each kind) hold the bound for answers, those of the listener for requests.

--- /dev/null
+++ b/src/ragwortpin/http/bounded_read.h
@@ -0,0 +1,65 @@
+#ifndef RAGWORTPIN_HTTP_BOUNDED_READ_H
+#define RAGWORTPIN_HTTP_BOUNDED_READ_H
+
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <cstddef>
+#include <cstdint>
+
+namespace ragwortpin {
+
+namespace internal {
+
+/**
+ * Bytes other than the header section and the body that a message may have for each byte of its body, and besides: chunk sizes, chunk
+ * extensions and trailers. Six are the framing of a chunk of one byte.
+ */
+inline constexpr std::uint64_t FramingBytesPerBodyByte{8};
+inline constexpr std::uint64_t MaxFramingBytes{64UL * 1024UL};
+/** Bytes that a connection buffers beyond the longest header section: one read ahead of the parser. */
+inline constexpr std::size_t ReadAheadBytes{128UL * 1024UL};
+
+} // namespace internal
+
+/** Returns an empty buffer for a connection whose messages have header sections up to the given length. It never grows beyond that. */
+[[nodiscard]] inline boost::beast::flat_buffer makeReadBuffer(std::size_t headerBytes)
+{
+    return boost::beast::flat_buffer{headerBytes + internal::ReadAheadBytes};
+}
+
+/**
+ * Reads a message, or the rest of it if its header section was read already. The parser limits the header section and the body, but neither
+ * chunk sizes and extensions nor trailers; a message with more of them than internal::MaxFramingBytes and the multiple of its body ends
+ * with header_limit, and a line longer than the buffer of makeReadBuffer() with buffer_overflow.
+ */
+template<typename Stream, typename Parser>
+[[nodiscard]] boost::asio::awaitable<void>
+readBounded(Stream &stream, boost::beast::flat_buffer &buffer, Parser &parser, boost::system::error_code &error)
+{
+    namespace http = boost::beast::http;
+    using boost::asio::redirect_error;
+    using boost::asio::use_awaitable;
+    if (!parser.is_header_done()) {
+        co_await http::async_read_header(stream, buffer, parser, redirect_error(use_awaitable, error));
+    }
+    parser.eager(true);
+    std::uint64_t received{0};
+    while (!error && !parser.is_done()) {
+        received += co_await http::async_read_some(stream, buffer, parser, redirect_error(use_awaitable, error));
+        const std::uint64_t body{parser.get().body().size()};
+        if (!error && received > body * (1 + internal::FramingBytesPerBodyByte) + internal::MaxFramingBytes) {
+            error = http::error::header_limit;
+        }
+    }
+}
+
+} // namespace ragwortpin
+
+#endif
--- a/src/ragwortpin/http/client_pool.cpp
+++ b/src/ragwortpin/http/client_pool.cpp
@@ -109,7 +109,7 @@
     }
     auto open = takeIdle(server, options.maxIdleTime);
     if (!open) {
-        open = std::make_shared<connection>(m_context);
+        open = std::make_shared<connection>(m_context, m_limits.headerBytes);
         co_await connect(*open, server, deadline, control, options, result.error);
         if (result.error) {
             co_return result;
@@ -200,7 +200,7 @@
         parser.header_limit(m_limits.headerBytes);
         parser.body_limit(m_limits.responseBodyBytes);
         parser.skip(isHead);
-        co_await http::async_read(open.stream, open.buffer, parser, asio::redirect_error(asio::use_awaitable, result.error));
+        co_await readBounded(open.stream, open.buffer, parser, result.error);
         if (result.error) {
             co_return;
         }
--- a/src/ragwortpin/http/client_pool.h
+++ b/src/ragwortpin/http/client_pool.h
@@ -1,6 +1,7 @@
 #ifndef RAGWORTPIN_HTTP_CLIENT_POOL_H
 #define RAGWORTPIN_HTTP_CLIENT_POOL_H
 
+#include "ragwortpin/http/bounded_read.h"
 #include "ragwortpin/http/call_control.h"
 #include "ragwortpin/http/message.h"
 
@@ -96,8 +97,9 @@
 private:
     struct connection
     {
-        explicit connection(boost::asio::io_context &context)
+        connection(boost::asio::io_context &context, std::size_t headerBytes)
             : stream{context}
+            , buffer{makeReadBuffer(headerBytes)}
         { }
 
         boost::beast::tcp_stream stream;
--- a/src/ragwortpin/http/server.cpp
+++ b/src/ragwortpin/http/server.cpp
@@ -1,5 +1,6 @@
 #include "ragwortpin/http/server.h"
 
+#include "ragwortpin/http/bounded_read.h"
 #include "ragwortpin/http/socket.h"
 #include "ragwortpin/runtime/async_signal.h"
 #include "ragwortpin/runtime/logging.h"
@@ -51,7 +52,7 @@
 
 std::optional<refusal_kind> refusalKindOf(const boost::system::error_code &error)
 {
-    if (error == http::error::header_limit) {
+    if (error == http::error::header_limit || error == http::error::buffer_overflow) {
         return refusal_kind::HeaderTooLarge;
     }
     if (error == http::error::body_limit) {
@@ -190,7 +191,7 @@
             co_await sendContinue(parser.get().version(), error);
         }
         if (!error) {
-            co_await http::async_read(m_socket, m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+            co_await readBounded(m_socket, m_buffer, parser, error);
         }
         m_isReadingBody = false;
     }
@@ -329,7 +330,7 @@
 
     http_server &m_server;
     tcp::socket m_socket;
-    boost::beast::flat_buffer m_buffer;
+    boost::beast::flat_buffer m_buffer{makeReadBuffer(m_server.m_limits.headerBytes)};
     async_signal m_pendingChanged;
     /** Unanswered requests in order of arrival. */
     std::deque<std::shared_ptr<pending_request>> m_pending;
--- a/src/ragwortpin/peers/control_client.cpp
+++ b/src/ragwortpin/peers/control_client.cpp
@@ -1,5 +1,6 @@
 #include "ragwortpin/peers/control_client.h"
 
+#include "ragwortpin/http/bounded_read.h"
 #include "ragwortpin/peers/control_server.h"
 #include "ragwortpin/peers/error.h"
 #include "ragwortpin/peers/signature.h"
@@ -13,10 +14,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/error.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -30,6 +29,7 @@
 
 constexpr unsigned HttpVersion{11};
 constexpr std::size_t MaxAnswerBytes{8'000'000};
+constexpr std::uint32_t MaxAnswerHeaderBytes{8UL * 1024UL};
 
 using request = http::request<http::string_body>;
 using response = http::response<http::string_body>;
@@ -57,10 +57,15 @@
     const asio::ip::tcp::endpoint endpoint{asio::ip::make_address(peer.address), peer.port};
     co_await stream.async_connect(endpoint, asio::use_awaitable);
     co_await http::async_write(stream, call, asio::use_awaitable);
-    beast::flat_buffer buffer;
+    auto buffer = makeReadBuffer(MaxAnswerHeaderBytes);
     http::response_parser<http::string_body> parser;
     parser.body_limit(MaxAnswerBytes);
-    co_await http::async_read(stream, buffer, parser, asio::use_awaitable);
+    parser.header_limit(MaxAnswerHeaderBytes);
+    boost::system::error_code error;
+    co_await readBounded(stream, buffer, parser, error);
+    if (error) {
+        throw boost::system::system_error{error};
+    }
     answer = parser.release();
 }
 
--- a/tests/http/client_pool_test.cpp
+++ b/tests/http/client_pool_test.cpp
@@ -30,6 +30,25 @@
     return result;
 }
 
+/** Size in bytes of a text that stands for one without end. */
+constexpr std::size_t Endless{8UL * 1024UL * 1024UL};
+
+/** Returns the text repeated until it has the given size. */
+std::string repeated(const std::string &text, std::size_t size)
+{
+    std::string result;
+    result.reserve(size + text.size());
+    while (result.size() < size) {
+        result += text;
+    }
+    return result;
+}
+
+std::string chunkedAnswer(const std::string &body)
+{
+    return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + body;
+}
+
 struct framing_case
 {
     std::string name;
@@ -51,6 +70,18 @@
         {"not HTTP", "220 mail ready\r\n\r\n", exchange_progress::Sent},
         {"no response", "", exchange_progress::Sent},
         {"no body because of the status", "HTTP/1.1 204 No Content\r\n\r\n", exchange_progress::Answered},
+        {"chunks of one byte", chunkedAnswer(repeated("1\r\nx\r\n", 1024UL * 1024UL) + "0\r\n\r\n"), exchange_progress::Answered},
+        {"a few trailers", chunkedAnswer("2\r\nhi\r\n0\r\n" + repeated("A: b\r\n", 1024) + "\r\n"), exchange_progress::Answered},
+        {"trailers without end", chunkedAnswer("2\r\nhi\r\n0\r\n" + repeated("A: b\r\n", Endless)), exchange_progress::Sent},
+        {"one trailer without end", chunkedAnswer("2\r\nhi\r\n0\r\nA: " + repeated("b", Endless)), exchange_progress::Sent},
+        {"too many trailers", chunkedAnswer("2\r\nhi\r\n0\r\n" + repeated("A: b\r\n", Endless) + "\r\n"), exchange_progress::Sent},
+        {"chunk extension that is too long",
+         chunkedAnswer("2;x=" + repeated("y", Endless) + "\r\nhi\r\n0\r\n\r\n"),
+         exchange_progress::Sent},
+        {"chunk size that is too long", chunkedAnswer(repeated("0", Endless) + "2\r\nhi\r\n0\r\n\r\n"), exchange_progress::Sent},
+        {"chunks that are mostly extensions",
+         chunkedAnswer(repeated("1;x=" + std::string(1000, 'y') + "\r\nx\r\n", Endless) + "0\r\n\r\n"),
+         exchange_progress::Sent},
         {"larger than the limit", "HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\nhi", exchange_progress::Sent},
     };
     for (const auto &entry : cases) {
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -44,6 +44,16 @@
     return answer;
 }
 
+std::string manyTrailers()
+{
+    constexpr unsigned Count{60'000};
+    std::string text;
+    for (unsigned index{0}; index < Count; ++index) {
+        text += "A: b\r\n";
+    }
+    return text + "\r\n";
+}
+
 } // namespace
 
 TEST_CASE("the listener answers complete requests and refuses malformed or oversized ones as not run")
@@ -59,6 +69,11 @@
          "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
          "HTTP/1.1 400",
          1},
+        {"trailers without end",
+         "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA: " + std::string(400'000, 'x'),
+         "HTTP/1.1 431",
+         1},
+        {"too many trailers", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + manyTrailers(), "HTTP/1.1 431", 1},
         {"oversized header", "GET / HTTP/1.1\r\nX: " + std::string(20'000, 'x') + "\r\n\r\n", "HTTP/1.1 431", 1},
         {"oversized body", "POST / HTTP/1.1\r\nContent-Length: 9000000\r\n\r\n", "HTTP/1.1 413", 1},
         {"oversized chunk", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n9000000\r\n" + std::string(3000, 'x'), "HTTP/1.1 413", 1},
