Take a request without a key for a call of the target only if a run there can have made it, and use the whole grace of a stop

Cause: a request without a key counted as a call of the target beside the node, which is served during a stop; callers need no key on public routes. Ruled out: the end of the announce period, which refuses requests with a key as it should.

During a stop a request without a key is served only if its deadline is that of a run at the target, which calls carry; the window allows for a node that reads late. The settings have `grace` as the platform gives it: nine tenths of it are used, at most 2.7 s of them for new requests, the rest for those that have begun.

The table of the caller gateway fails without the change for the caller without a key.

--- a/src/ragwortpin/callers/caller_gateway.cpp
+++ b/src/ragwortpin/callers/caller_gateway.cpp
@@ -192,8 +192,12 @@
 boost::asio::awaitable<call_answer> caller_gateway::admitAndRun(inbound_call call)
 {
     const bool isTargetCall{call.context.depth > 0};
-    if (!isTargetCall && m_services.isShuttingDown && m_services.isShuttingDown()) {
-        co_return refuse(refusal_kind::Draining, NotReadyRetryAfter);
+    if (m_services.isShuttingDown && m_services.isShuttingDown()) {
+        // A missing key alone says nothing: callers need none on open routes. The calls of a run that has begun are served.
+        const bool belongsToRun{isTargetCall && m_services.mayBeTargetCall && m_services.mayBeTargetCall(call.callerDeadline)};
+        if (!belongsToRun) {
+            co_return refuse(refusal_kind::Draining, NotReadyRetryAfter);
+        }
     }
     if (isTargetCall && m_services.attributeTargetCall) {
         const auto callDeadline = call.callerDeadline;
--- a/src/ragwortpin/callers/caller_gateway.h
+++ b/src/ragwortpin/callers/caller_gateway.h
@@ -79,6 +79,8 @@
     std::function<bool()> isShuttingDown{};
     /** Called for each call that this node's own target makes. Returns the rank of the run that makes the call, if known. */
     std::function<std::optional<unsigned>(std::string_view route, time_point deadline)> attributeTargetCall{};
+    /** Returns whether a call with the given deadline may be one of a run at the target. */
+    std::function<bool(time_point deadline)> mayBeTargetCall{};
 };
 
 /**
--- a/src/ragwortpin/node/data_plane.cpp
+++ b/src/ragwortpin/node/data_plane.cpp
@@ -166,6 +166,9 @@
                        },
                        [this](std::string_view route, time_point deadline) {
                            return m_target.attributeTargetCall(route, deadline);
+                       },
+                       [this](time_point deadline) {
+                           return m_target.mayBeTargetCall(deadline);
                        }}
     , m_callers{m_callerServices, metrics, settings.sampleRatio, randomSeed()}
     , m_egress{m_callerServices, m_callers, m_target.inFlight(), metrics}
--- a/src/ragwortpin/node/shutdown.cpp
+++ b/src/ragwortpin/node/shutdown.cpp
@@ -1,5 +1,7 @@
 #include "ragwortpin/node/shutdown.h"
 
+#include <algorithm>
+
 namespace ragwortpin {
 
 namespace {
@@ -17,6 +19,15 @@
 
 } // namespace
 
+shutdown_settings divideGrace(duration grace)
+{
+    constexpr milliseconds MaxAnnouncePeriod{2700};
+    constexpr double UsedPart{0.9};
+    const auto used = fromSeconds(toSeconds(grace) * UsedPart);
+    const auto announce = std::min<duration>(MaxAnnouncePeriod, used / 2);
+    return {.announcePeriod = announce, .finishTimeout = used - announce};
+}
+
 bool isAnnouncePeriodOver(const shutdown_progress &progress, const shutdown_settings &settings, time_point now) noexcept
 {
     return progress.startedAt && now - *progress.startedAt >= settings.announcePeriod;
--- a/src/ragwortpin/node/shutdown.h
+++ b/src/ragwortpin/node/shutdown.h
@@ -44,6 +44,12 @@
     Finish,
 };
 
+/**
+ * Divides the time from the signal to stop until the process is killed. Nine tenths of it are used. New requests are accepted for at most
+ * 2.7 s, so that most of the time is left for those that have begun.
+ */
+[[nodiscard]] shutdown_settings divideGrace(duration grace);
+
 /** Returns whether the announce period has passed. New requests are refused from then on, as they could not finish in time. */
 [[nodiscard]] bool isAnnouncePeriodOver(const shutdown_progress &progress, const shutdown_settings &settings, time_point now) noexcept;
 
--- a/src/ragwortpin/targets/target_gateway.cpp
+++ b/src/ragwortpin/targets/target_gateway.cpp
@@ -16,6 +16,8 @@
  */
 constexpr milliseconds CallDeadlineEarlyTolerance{3};
 constexpr milliseconds CallDeadlineLateTolerance{4};
+/** Longest time from the send of a target's call until the node beside it reads the call. */
+constexpr milliseconds MaxCallReadDelay{250};
 
 bool isOverloadStatus(unsigned status) noexcept
 {
@@ -266,6 +268,12 @@
     return rank;
 }
 
+bool target_gateway::mayBeTargetCall(time_point callDeadline) const
+{
+    const auto run = m_activeRuns.lower_bound(callDeadline - MaxCallReadDelay);
+    return run != m_activeRuns.end() && run->first <= callDeadline + CallDeadlineEarlyTolerance;
+}
+
 http_request target_gateway::toTargetRequest(inbound_call &call, const std::string &token, time_point now) const
 {
     const auto &headers = m_options.headers;
--- a/src/ragwortpin/targets/target_gateway.h
+++ b/src/ragwortpin/targets/target_gateway.h
@@ -121,6 +121,12 @@
      */
     std::optional<unsigned> attributeTargetCall(std::string_view route, time_point callDeadline);
 
+    /**
+     * Returns whether a call with the given deadline may be made by a run at the target, whose deadline its calls carry. Less strict than
+     * attributeTargetCall(), so that no call is missed because the node read it late.
+     */
+    [[nodiscard]] bool mayBeTargetCall(time_point callDeadline) const;
+
     /** Returns the estimate of which calls the runs at the target make. */
     [[nodiscard]] call_graph &callGraph() noexcept
     {
--- a/tests/callers/caller_gateway_test.cpp
+++ b/tests/callers/caller_gateway_test.cpp
@@ -26,6 +26,7 @@
     value.workspaces.push_back({.name = "large", .rate = 10.0, .burst = 10.0});
     value.keys.push_back({.name = "k", .workspace = "large", .sha256 = sha256Hex("secret")});
     value.routes.push_back({.name = "read", .method = "", .path = "/read", .service = "clips", .importance = "normal"});
+    value.routes.push_back({.name = "open", .method = "", .path = "/open", .service = "clips", .importance = "normal", .open = true});
     return value;
 }
 
@@ -42,6 +43,9 @@
     duration proofAge{0};
     /** Age of the proof once the request has its token. */
     duration proofAgeAfterToken{0};
+    bool isShuttingDown{false};
+    /** Whether a call may be one of a run at the target. */
+    bool hasRun{false};
     dispatcher calls{{"node", {{"secret"}}},
                      client,
                      directory,
@@ -86,14 +90,24 @@
                 .returnToken =
                     [this](const std::string &) {
                         ++returnedTokens;
+                    },
+                .isShuttingDown =
+                    [this] {
+                        return isShuttingDown;
+                    },
+                .mayBeTargetCall =
+                    [this](time_point) {
+                        return hasRun;
                     }};
     }
 
-    unsigned statusOfRequest()
+    unsigned statusOfRequest(const std::string &path = "/read", bool hasKey = true)
     {
-        http_request request{http::verb::get, "/read", 11};
+        http_request request{http::verb::get, path, 11};
         request.set(http::field::host, "a");
-        request.set(http::field::authorization, "Bearer secret");
+        if (hasKey) {
+            request.set(http::field::authorization, "Bearer secret");
+        }
         unsigned status{0};
         boost::asio::co_spawn(context,
                               gateway.serve(std::move(request), std::make_shared<call_control>()),
@@ -134,3 +148,30 @@
         CHECK(fixture.returnedTokens == entry.returnedTokens);
     }
 }
+
+TEST_CASE("during a shutdown only calls of runs at the target are accepted, with a key or without")
+{
+    struct shutdown_case
+    {
+        std::string name;
+        std::string path;
+        bool hasKey;
+        bool isShuttingDown;
+        bool hasRun;
+        unsigned status;
+    };
+    const std::vector<shutdown_case> cases{
+        {"caller without a key, no shutdown", "/open", false, false, false, 200},
+        {"caller with a key", "/read", true, true, true, 503},
+        {"caller without a key, idle target", "/open", false, true, false, 503},
+        {"call of a run at the target", "/open", false, true, true, 200},
+        {"caller with a key on an open route", "/open", true, true, true, 503},
+    };
+    for (const auto &entry : cases) {
+        CAPTURE(entry.name);
+        gateway_fixture fixture;
+        fixture.isShuttingDown = entry.isShuttingDown;
+        fixture.hasRun = entry.hasRun;
+        CHECK(fixture.statusOfRequest(entry.path, entry.hasKey) == entry.status);
+    }
+}
--- a/tests/node/shutdown_test.cpp
+++ b/tests/node/shutdown_test.cpp
@@ -22,6 +22,13 @@
 
 } // namespace
 
+TEST_CASE("the time until the process is killed is left to requests that have begun")
+{
+    CHECK(divideGrace(seconds{6}) == shutdown_settings{milliseconds{2700}, milliseconds{2700}});
+    CHECK(divideGrace(seconds{10}) == shutdown_settings{milliseconds{2700}, milliseconds{6300}});
+    CHECK(divideGrace(seconds{2}) == shutdown_settings{milliseconds{900}, milliseconds{900}});
+}
+
 TEST_CASE("a shutdown answers what was received before it finishes")
 {
     struct shutdown_case
--- a/tests/system/platform_fleet.cpp
+++ b/tests/system/platform_fleet.cpp
@@ -197,7 +197,7 @@
         + ", egress: " + address(FirstInternalPort) + ", gossip: " + address(FirstInternalPort) + ", admin: " + address(MetricsPort)
         + "}\nannouncements: " + address(ControlPort) + "\nreadiness: " + address(ReadyPort) + "\nplatform: {endpoints: [" + store
         + "], timeout_ms: 1200}\nnetwork_secret: " + store
-        + "\ndiscovery_prefix: \"ragwortpin/nodes/\"\nshutdown: {announce_ms: 500, finish_ms: 2700}\n"
+        + "\ndiscovery_prefix: \"ragwortpin/nodes/\"\ngrace: 6s\n"
           "configuration: {zone_poll_interval_ms: 300, start_grace_ms: 0, start_spread_ms: 50, watch: true, longest_proof_age_ms: 4600}\n"
           "overload: {cold_start: false, adaptive_limit: false, plan_admission: true}\nrate_method: shared\n";
 }
