Give all messages of a process one memory budget, asked before a body is read

What callers saw: with uploads of 60 MB at once, each within max_body_bytes, a node of 260 MB used up to 244 MiB with two and was ended with four; the requests of others that it held were cut (LOST).

Cause: each listener and client limited a message by itself. The node that takes a request from a caller kept its body twice, once for a retry. A sender that stalled kept its part for the idle timeout, 120 s on the platform.

Bodies and long header sections are reserved before they are read: 503 memory_short with Retry-After, not run. Responses wait for memory up to their deadline.

The fixtures of foreign_announcement_test move to platform_fleet, unchanged. The assertion of admin_server_test on the metrics reads the body's text by name; what it checks is the same.

--- a/src/ragwortpin/core/outcome.h
+++ b/src/ragwortpin/core/outcome.h
@@ -45,6 +45,7 @@
     Cancelled,
     IdempotencyKeyReused,
     InternalError,
+    MemoryShort,
 };
 
 /** Representation of a refusal in responses to callers. */
@@ -118,6 +119,10 @@
                         "internal_error",
                         500,
                         "The node failed while it handled the request; check whether the request ran before sending it again."},
+    refusal_description{refusal_kind::MemoryShort,
+                        "memory_short",
+                        503,
+                        "The node holds as many messages as its memory allows; wait for the time in Retry-After."},
 };
 
 /** Returns the description of a refusal kind. */
--- a/src/ragwortpin/dispatch/dispatcher.cpp
+++ b/src/ragwortpin/dispatch/dispatcher.cpp
@@ -31,6 +31,7 @@
     case refusal_kind::NotReady:
         return attempt_kind::NotServing;
     case refusal_kind::Overloaded:
+    case refusal_kind::MemoryShort:
         return attempt_kind::Overloaded;
     case refusal_kind::DeadlineExceeded:
         return answer.result == outcome::NotRun ? attempt_kind::Overloaded : attempt_kind::TimedOut;
--- a/src/ragwortpin/http/bounded_read.h
+++ b/src/ragwortpin/http/bounded_read.h
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/error.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -34,14 +35,45 @@
     return boost::beast::flat_buffer{headerBytes + internal::ReadAheadBytes};
 }
 
+namespace internal {
+
+/** Reserves no memory. For messages whose size is bounded by other means. */
+struct no_reservation
+{
+    [[nodiscard]] boost::asio::awaitable<bool> operator()(std::size_t) const
+    {
+        co_return true;
+    }
+};
+
+/**
+ * Returns how much memory a body needs for the next read, in bytes: its length if it is known, else what it may have grown to after that
+ * read. A body without a length is moved when it grows, so that it is held twice for a moment.
+ */
+template<typename Parser>
+[[nodiscard]] std::size_t memoryForNextRead(const Parser &parser, const boost::beast::flat_buffer &buffer)
+{
+    constexpr std::size_t SmallestRead{512};
+    const std::size_t held{parser.get().body().size()};
+    if (const auto length = parser.content_length()) {
+        return static_cast<std::size_t>(*length);
+    }
+    return 2 * held + buffer.capacity() + SmallestRead;
+}
+
+} // namespace internal
+
 /**
  * Reads a message, or the rest of it if its header section was read already. The parser limits the header section and the body, but neither
  * chunk sizes and extensions nor trailers; a message with more of them than internal::MaxFramingBytes and the multiple of its body ends
  * with header_limit, and a line longer than the buffer of makeReadBuffer() with buffer_overflow.
+ *
+ * Before each read of the body, the reservation is asked for the memory, in bytes, that the body needs then. If it returns false, the
+ * message ends with no_buffer_space.
  */
-template<typename Stream, typename Parser>
+template<typename Stream, typename Parser, typename Reservation = internal::no_reservation>
 [[nodiscard]] boost::asio::awaitable<void>
-readBounded(Stream &stream, boost::beast::flat_buffer &buffer, Parser &parser, boost::system::error_code &error)
+readBounded(Stream &stream, boost::beast::flat_buffer &buffer, Parser &parser, boost::system::error_code &error, Reservation reserve = {})
 {
     namespace http = boost::beast::http;
     using boost::asio::redirect_error;
@@ -52,6 +84,11 @@
     parser.eager(true);
     std::uint64_t received{0};
     while (!error && !parser.is_done()) {
+        const bool isReserved{co_await reserve(internal::memoryForNextRead(parser, buffer))};
+        if (!isReserved) {
+            error = boost::asio::error::no_buffer_space;
+            break;
+        }
         received += co_await http::async_read_some(stream, buffer, parser, redirect_error(use_awaitable, error));
         const std::uint64_t body{parser.get().body().size()};
         if (!error && received > body * (1 + internal::FramingBytesPerBodyByte) + internal::MaxFramingBytes) {
--- a/src/ragwortpin/http/client_pool.cpp
+++ b/src/ragwortpin/http/client_pool.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -35,6 +36,8 @@
 /** Lower status codes are interim responses. */
 constexpr unsigned FirstFinalStatus{200};
 constexpr unsigned FirstErrorStatus{400};
+/** Pause between two attempts to reserve memory for a response. */
+constexpr milliseconds MemoryCheckInterval{10};
 
 bool isOpen(tcp::socket &socket)
 {
@@ -87,16 +90,17 @@
     return parsed.ec == std::errc{} ? fromSeconds(static_cast<double>(timeout) * ReusableIdleFraction) : duration::max();
 }
 
-bool isFramed(const http::response_parser<http::string_body> &parser)
+bool isFramed(const http::response_parser<message_body> &parser)
 {
     return parser.is_done() && !parser.need_eof();
 }
 
 } // namespace
 
-http_client_pool::http_client_pool(asio::io_context &context, http_limits limits)
+http_client_pool::http_client_pool(asio::io_context &context, http_limits limits, std::optional<memory_budget> memory)
     : m_context{context}
     , m_limits{limits}
+    , m_memory{std::move(memory)}
 { }
 
 asio::awaitable<exchange_result> http_client_pool::exchange(
@@ -124,7 +128,7 @@
     open->stream.expires_after(std::max(duration{1}, deadline - monotonicNow()));
     co_await sendRequest(*open, request, result);
     if (result.progress == exchange_progress::Sent) {
-        co_await readResponse(*open, request.method() == http::verb::head, options, result);
+        co_await readResponse(*open, request.method() == http::verb::head, deadline, options, result);
     }
     control->onCancel(nullptr);
     if (result.progress != exchange_progress::Answered || control->cancelled()) {
@@ -192,15 +196,37 @@
     }
 }
 
+/**
+ * Reserves memory for a response, waiting for it until the deadline: other responses return theirs as they are written. Returns false if
+ * the deadline passed or the exchange was cancelled.
+ */
+asio::awaitable<bool> http_client_pool::awaitMemory(const connection &open, body_text &body, std::size_t bytes, time_point deadline)
+{
+    while (!body.reserve(bytes)) {
+        if (monotonicNow() >= deadline || !open.stream.socket().is_open()) {
+            co_return false;
+        }
+        asio::steady_timer pause{m_context, MemoryCheckInterval};
+        boost::system::error_code ignored;
+        co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    co_return true;
+}
+
 asio::awaitable<void>
-http_client_pool::readResponse(connection &open, bool isHead, const exchange_options &options, exchange_result &result)
+http_client_pool::readResponse(connection &open, bool isHead, time_point deadline, const exchange_options &options, exchange_result &result)
 {
     for (unsigned read{0}; read <= MaxDiscardedResponses; ++read) {
-        http::response_parser<http::string_body> parser;
+        http::response_parser<message_body> parser;
         parser.header_limit(m_limits.headerBytes);
         parser.body_limit(m_limits.responseBodyBytes);
         parser.skip(isHead);
-        co_await readBounded(open.stream, open.buffer, parser, result.error);
+        if (m_memory) {
+            parser.get().body() = body_text{m_memory->makeReservation(memory_use::Response)};
+        }
+        co_await readBounded(open.stream, open.buffer, parser, result.error, [&](std::size_t bytes) {
+            return awaitMemory(open, parser.get().body(), bytes, deadline);
+        });
         if (result.error) {
             co_return;
         }
--- a/src/ragwortpin/http/client_pool.h
+++ b/src/ragwortpin/http/client_pool.h
@@ -4,6 +4,7 @@
 #include "ragwortpin/http/bounded_read.h"
 #include "ragwortpin/http/call_control.h"
 #include "ragwortpin/http/message.h"
+#include "ragwortpin/memory/budget.h"
 
 #include <utility>
 
@@ -72,7 +73,8 @@
 class http_client_pool
 {
 public:
-    http_client_pool(boost::asio::io_context &context, http_limits limits);
+    /** With a memory budget, the body of a response is not read before the budget allows it, up to the deadline of the exchange. */
+    http_client_pool(boost::asio::io_context &context, http_limits limits, std::optional<memory_budget> memory = std::nullopt);
 
     /**
      * Sends a request and reads the complete response, both before the deadline. Cancelling the control closes the connection.
@@ -122,12 +124,14 @@
                                                        boost::system::error_code &error);
     [[nodiscard]] boost::asio::awaitable<void> sendRequest(connection &open, const http_request &request, exchange_result &result);
     [[nodiscard]] boost::asio::awaitable<void>
-    readResponse(connection &open, bool isHead, const exchange_options &options, exchange_result &result);
+    readResponse(connection &open, bool isHead, time_point deadline, const exchange_options &options, exchange_result &result);
+    [[nodiscard]] boost::asio::awaitable<bool> awaitMemory(const connection &open, body_text &body, std::size_t bytes, time_point deadline);
     [[nodiscard]] connection_ptr takeIdle(const endpoint &server, duration maxIdleTime);
     void returnIdle(const endpoint &server, connection_ptr open);
 
     boost::asio::io_context &m_context;
     http_limits m_limits;
+    std::optional<memory_budget> m_memory;
     std::map<endpoint, std::vector<connection_ptr>> m_idle;
 };
 
--- a/src/ragwortpin/http/message.h
+++ b/src/ragwortpin/http/message.h
@@ -4,9 +4,9 @@
 #include "ragwortpin/core/outcome.h"
 #include "ragwortpin/core/time.h"
 #include "ragwortpin/http/fwd.h"
+#include "ragwortpin/http/message_body.h"
 
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <cstddef>
 #include <cstdint>
@@ -19,10 +19,10 @@
 namespace http = boost::beast::http;
 
 /** Complete request held in memory; its size is bounded by http_limits. */
-using http_request = http::request<http::string_body>;
+using http_request = http::request<message_body>;
 
 /** Complete response held in memory; its size is bounded by http_limits. */
-using http_response = http::response<http::string_body>;
+using http_response = http::response<message_body>;
 
 /** Header fields internal to ragwortpin. All of them are removed from messages of callers and targets. */
 namespace field {
--- a/src/ragwortpin/http/server.cpp
+++ b/src/ragwortpin/http/server.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -40,7 +41,16 @@
 /** Interval between checks for stalled connections. */
 constexpr seconds StallCheckInterval{1};
 
-constexpr std::size_t DiscardBufferSize{512};
+/** Time to wait for a client that still sends a body that was refused, so that it can read the refusal. */
+constexpr seconds RefusedBodyLingerTimeout{5};
+
+constexpr std::size_t DiscardBufferSize{16UL * 1024UL};
+
+/** Part of a connection's read buffer that is not counted against the memory budget. */
+constexpr std::size_t UncountedBufferBytes{8UL * 1024UL};
+
+/** Pause after which a request that was refused for want of memory may be sent again. */
+constexpr seconds MemoryRetryAfter{1};
 
 /** Maximum number of waiting connections that are accepted before the event loop runs other handlers. */
 constexpr std::size_t MaxAcceptBatch{64};
@@ -48,7 +58,7 @@
 /** Delay after a failed accept, for example when the process has run out of file descriptors. */
 constexpr milliseconds AcceptRetryInterval{10};
 
-using request_parser = http::request_parser<http::string_body>;
+using request_parser = http::request_parser<message_body>;
 
 std::optional<refusal_kind> refusalKindOf(const boost::system::error_code &error)
 {
@@ -58,6 +68,9 @@
     if (error == http::error::body_limit) {
         return refusal_kind::BodyTooLarge;
     }
+    if (error == asio::error::no_buffer_space) {
+        return refusal_kind::MemoryShort;
+    }
     if (error == http::error::end_of_stream || error == http::error::partial_message) {
         return std::nullopt;
     }
@@ -77,6 +90,7 @@
         : m_server{server}
         , m_socket{std::move(socket)}
         , m_pendingChanged{server.m_context}
+        , m_bufferMemory{server.makeReservation(memory_use::Request)}
     {
         m_server.m_sessions.insert(this);
         extendStallDeadline();
@@ -124,6 +138,20 @@
         }
     }
 
+    /** Ends the connection if it has transferred a body too slowly. To be called every second while memory is short. */
+    void evictIfSlow(time_point now)
+    {
+        if (!m_writing && !m_isReadingBody) {
+            return;
+        }
+        auto &progress = m_writing ? m_sent : m_received;
+        if (isTooSlow(progress, now)) {
+            evict();
+        } else if (now - progress.since >= TransferRatePeriod) {
+            progress = {now, 0};
+        }
+    }
+
 private:
     /** A request that was read and whose response is not yet written. */
     struct pending_request
@@ -146,9 +174,45 @@
         m_socket.close(ignored);
     }
 
+    /** Ends the transfer. A sender gets a refusal, since its request has not run; a receiver loses the rest of its response. */
+    void evict()
+    {
+        ++m_server.m_evictions;
+        if (m_writing) {
+            close();
+            return;
+        }
+        boost::system::error_code ignored;
+        m_isEvicted = true;
+        m_socket.cancel(ignored);
+    }
+
+    /** Reserves memory for the next read of a body. Returns false if the budget does not allow it. */
+    [[nodiscard]] bool reserve(request_parser &parser)
+    {
+        return parser.is_done() || parser.get().body().reserve(internal::memoryForNextRead(parser, m_buffer));
+    }
+
+    /** Reserves memory for the read buffer as it has grown. Returns false if the budget does not allow it. */
+    [[nodiscard]] bool reserveBuffer()
+    {
+        const auto capacity = m_buffer.capacity();
+        return m_bufferMemory.resize(capacity > UncountedBufferBytes ? capacity - UncountedBufferBytes : 0);
+    }
+
+    /** Returns the memory of a read buffer that a long header section or chunk line has left. */
+    void shrinkBuffer()
+    {
+        if (m_buffer.capacity() > UncountedBufferBytes) {
+            m_buffer.shrink_to_fit();
+            static_cast<void>(reserveBuffer());
+        }
+    }
+
     asio::awaitable<bool> readAndServe()
     {
         request_parser parser;
+        parser.get().body() = body_text{m_server.makeReservation(memory_use::Request)};
         parser.header_limit(m_server.m_limits.headerBytes);
         parser.body_limit(m_server.m_limits.requestBodyBytes);
         boost::system::error_code error;
@@ -181,19 +245,64 @@
     asio::awaitable<void> readRequest(request_parser &parser, boost::system::error_code &error)
     {
         extendStallDeadline();
-        co_await http::async_read_header(m_socket, m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        co_await readHeader(parser, error);
         if (error) {
             co_return;
         }
         extendStallDeadline();
         m_isReadingBody = true;
-        if (boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        m_received = {monotonicNow(), 0};
+        if (!reserve(parser)) {
+            error = asio::error::no_buffer_space;
+        }
+        if (!error && boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
             co_await sendContinue(parser.get().version(), error);
         }
         if (!error) {
-            co_await readBounded(m_socket, m_buffer, parser, error);
+            std::size_t received{0};
+            co_await readBounded(m_socket, m_buffer, parser, error, [&](std::size_t) -> asio::awaitable<bool> {
+                m_received.bytes += parser.get().body().size() - std::exchange(received, parser.get().body().size());
+                co_return reserve(parser);
+            });
+        }
+        if (std::exchange(m_isEvicted, false)) {
+            error = asio::error::no_buffer_space;
         }
         m_isReadingBody = false;
+        shrinkBuffer();
+    }
+
+    /** Reads a header section. Unlike async_read_header(), counts the buffer against the memory budget after each read from the socket. */
+    asio::awaitable<void> readHeader(request_parser &parser, boost::system::error_code &error)
+    {
+        while (!error && !parser.is_header_done()) {
+            if (m_buffer.size() > 0) {
+                m_buffer.consume(parser.put(m_buffer.data(), error));
+                if (error != http::error::need_more) {
+                    continue;
+                }
+                error = {};
+            }
+            co_await fillBuffer(parser, error);
+        }
+    }
+
+    asio::awaitable<void> fillBuffer(request_parser &parser, boost::system::error_code &error)
+    {
+        const auto space = boost::beast::read_size(m_buffer, m_buffer.max_size());
+        if (space == 0) {
+            error = http::error::buffer_overflow;
+            co_return;
+        }
+        const auto part = m_buffer.prepare(space);
+        if (!reserveBuffer()) {
+            error = asio::error::no_buffer_space;
+            co_return;
+        }
+        m_buffer.commit(co_await m_socket.async_read_some(part, asio::redirect_error(asio::use_awaitable, error)));
+        if (error == asio::error::eof) {
+            error = parser.got_some() || m_buffer.size() > 0 ? http::error::partial_message : http::error::end_of_stream;
+        }
     }
 
     /** Writes 100 Continue once all earlier requests are answered. */
@@ -217,7 +326,9 @@
         m_server.m_observer(*kind);
         auto item = std::make_shared<pending_request>();
         item->keepAlive = false;
-        item->response = makeRefusalResponse(*kind, outcome::NotRun);
+        const bool isMemoryShort{*kind == refusal_kind::MemoryShort};
+        m_isBodyRefused = isMemoryShort || *kind == refusal_kind::BodyTooLarge;
+        item->response = makeRefusalResponse(*kind, outcome::NotRun, isMemoryShort ? duration{MemoryRetryAfter} : duration::zero());
         m_pending.push_back(item);
         ++m_server.m_requestsInFlight;
         startWriting();
@@ -279,7 +390,7 @@
             http::response<http::empty_body> headOnly{std::move(response.base())};
             co_await http::async_write(m_socket, headOnly, asio::redirect_error(asio::use_awaitable, error));
         } else {
-            co_await http::async_write(m_socket, response, asio::redirect_error(asio::use_awaitable, error));
+            co_await write(response, error);
         }
         extendStallDeadline();
         if (error) {
@@ -289,6 +400,15 @@
         }
     }
 
+    asio::awaitable<void> write(http_response &response, boost::system::error_code &error)
+    {
+        m_sent = {monotonicNow(), 0};
+        http::response_serializer<message_body> serializer{response};
+        while (!error && !serializer.is_done()) {
+            m_sent.bytes += co_await http::async_write_some(m_socket, serializer, asio::redirect_error(asio::use_awaitable, error));
+        }
+    }
+
     /** Waits for the pending responses. Bytes received meanwhile follow the last request of the connection and are discarded. */
     asio::awaitable<void> waitForResponses()
     {
@@ -313,14 +433,14 @@
     }
 
     /**
-     * Shuts down the sending side and discards input until the client closes or LingerTimeout has passed. Closing with unread input
+     * Shuts down the sending side and discards input until the client closes or the linger timeout has passed. Closing with unread input
      * would reset the connection before the client has read the last response.
      */
     asio::awaitable<void> closeGracefully()
     {
         boost::system::error_code error;
         m_socket.shutdown(tcp::socket::shutdown_send, error);
-        m_stallDeadline = monotonicNow() + LingerTimeout;
+        m_stallDeadline = monotonicNow() + (m_isBodyRefused ? RefusedBodyLingerTimeout : LingerTimeout);
         std::array<char, DiscardBufferSize> discarded{};
         while (!error && !m_disconnected) {
             co_await m_socket.async_read_some(asio::buffer(discarded), asio::redirect_error(asio::use_awaitable, error));
@@ -332,25 +452,39 @@
     tcp::socket m_socket;
     boost::beast::flat_buffer m_buffer{makeReadBuffer(m_server.m_limits.headerBytes)};
     async_signal m_pendingChanged;
+    /** Memory of the read buffer beyond UncountedBufferBytes. */
+    memory_reservation m_bufferMemory;
+    /** Progress of the body that is being read, and of the response that is being written. */
+    transfer_progress m_received;
+    transfer_progress m_sent;
     /** Unanswered requests in order of arrival. */
     std::deque<std::shared_ptr<pending_request>> m_pending;
     time_point m_stallDeadline{};
     bool m_writing{false};
     /** Whether the header of the next request was read and its body was not yet. */
     bool m_isReadingBody{false};
+    /** Whether the body that is being read was given up because it came too slowly. */
+    bool m_isEvicted{false};
+    /** Whether a request was refused before its body was read. */
+    bool m_isBodyRefused{false};
     /** Whether a response with "Connection: close" is being or was written. */
     bool m_closing{false};
     /** Whether the client disconnected. */
     bool m_disconnected{false};
 };
 
-http_server::http_server(
-    asio::io_context &context, http_limits limits, http_handler handler, refusal_observer observer, abandon_observer abandonObserver)
+http_server::http_server(asio::io_context &context,
+                         http_limits limits,
+                         http_handler handler,
+                         refusal_observer observer,
+                         abandon_observer abandonObserver,
+                         std::optional<memory_budget> memory)
     : m_context{context}
     , m_limits{limits}
     , m_handler{std::move(handler)}
     , m_observer{std::move(observer)}
     , m_abandonObserver{std::move(abandonObserver)}
+    , m_memory{std::move(memory)}
     , m_acceptor{context}
     , m_stallTimer{context}
 { }
@@ -407,6 +541,11 @@
     }
 }
 
+memory_reservation http_server::makeReservation(memory_use use) const
+{
+    return m_memory ? m_memory->makeReservation(use) : memory_reservation{};
+}
+
 std::size_t http_server::unreadConnections() const
 {
     return static_cast<std::size_t>(std::count_if(m_sessions.begin(), m_sessions.end(), [](const session *open) {
@@ -423,8 +562,12 @@
         }
         const auto now = monotonicNow();
         const auto sessions = m_sessions;
+        const bool isMemoryShort{m_memory && m_memory->isShort(now)};
         for (auto *open : sessions) {
             open->closeIfStalled(now);
+            if (isMemoryShort) {
+                open->evictIfSlow(now);
+            }
         }
         checkStalled();
     });
--- a/src/ragwortpin/http/server.h
+++ b/src/ragwortpin/http/server.h
@@ -3,6 +3,7 @@
 
 #include "ragwortpin/http/call_control.h"
 #include "ragwortpin/http/message.h"
+#include "ragwortpin/memory/budget.h"
 
 #include <utility>
 
@@ -11,8 +12,11 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <unordered_set>
 
 namespace ragwortpin {
@@ -34,6 +38,9 @@
  * before its handler runs. Requests of one connection are handled concurrently and answered in order of arrival. A malformed
  * request or one above a limit is answered with a refusal, and its connection is closed. A request whose client has already
  * disconnected is discarded.
+ *
+ * With a memory budget, header sections and bodies are read only as far as it allows; a request beyond it is refused as MemoryShort. While
+ * memory is short, connections that transfer a body too slowly are ended, so that they do not hold it for ever.
  */
 class http_server
 {
@@ -43,7 +50,8 @@
         http_limits limits,
         http_handler handler,
         refusal_observer observer,
-        abandon_observer abandonObserver = [](const http_request &) {});
+        abandon_observer abandonObserver = [](const http_request &) {},
+        std::optional<memory_budget> memory = std::nullopt);
 
     /** Binds, listens and starts accepting connections. Returns an error if the address is invalid or cannot be bound. */
     [[nodiscard]] boost::system::error_code listen(const endpoint &local);
@@ -73,6 +81,12 @@
         return m_sessions.size();
     }
 
+    /** Returns the number of connections that were ended because their transfer was too slow while memory was short. */
+    [[nodiscard]] std::uint64_t evictions() const noexcept
+    {
+        return m_evictions;
+    }
+
     /** Returns the number of open connections on which a request was received in part, or completely and not read yet. */
     [[nodiscard]] std::size_t unreadConnections() const;
 
@@ -83,16 +97,19 @@
     void acceptWaiting(std::size_t limit);
     void startSession(boost::asio::ip::tcp::socket socket);
     void checkStalled();
+    [[nodiscard]] memory_reservation makeReservation(memory_use use) const;
 
     boost::asio::io_context &m_context;
     http_limits m_limits;
     http_handler m_handler;
     refusal_observer m_observer;
     abandon_observer m_abandonObserver;
+    std::optional<memory_budget> m_memory;
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_stallTimer;
     std::unordered_set<session *> m_sessions;
     std::size_t m_requestsInFlight{0};
+    std::uint64_t m_evictions{0};
     bool m_draining{false};
 };
 
--- a/src/ragwortpin/node/data_plane.cpp
+++ b/src/ragwortpin/node/data_plane.cpp
@@ -114,7 +114,9 @@
     , m_loopProbe{m_context}
     , m_loopMeter{monotonicNow()}
     , m_loopDelay{metrics.distributionFor("ragwortpin_event_loop_delay_seconds")}
-    , m_client{m_context, settings.limits}
+    , m_memory{messageMemory(settings.memoryBytes)}
+    , m_memoryWatch{metrics}
+    , m_client{m_context, settings.limits, m_memory}
     , m_directory{settings.availabilityZone}
     , m_target{m_context,
                m_client,
@@ -186,7 +188,8 @@
                      [this](refusal_kind kind) {
                          m_callers.observeRefusal(kind);
                      },
-                     observeAbandoned("callers", metrics)}
+                     observeAbandoned("callers", metrics),
+                     m_memory}
     , m_egressServer{m_context,
                      settings.limits,
                      [this](http_request request, std::shared_ptr<call_control> control) {
@@ -195,14 +198,16 @@
                      [this](refusal_kind kind) {
                          m_callers.observeRefusal(kind);
                      },
-                     observeAbandoned("egress", metrics)}
+                     observeAbandoned("egress", metrics),
+                     m_memory}
     , m_peerServer{m_context,
                    settings.limits,
                    [this](http_request request, std::shared_ptr<call_control> control) {
                        return servePeer(std::move(request), std::move(control));
                    },
                    [](refusal_kind) {},
-                   observeAbandoned("peers", metrics)}
+                   observeAbandoned("peers", metrics),
+                   m_memory}
 {
     metrics.gauge("ragwortpin_mailbox_rejected", [this] {
         return static_cast<double>(fromControl.rejected() + fromOperators.rejected() + fromStore.rejected() + fromClaims.rejected());
@@ -442,6 +447,7 @@
     m_timers.subscribe(now, LoopCheckInterval, [this](time_point at) {
         const loop_load load{m_loopProbe.takeDelay(at), m_loopMeter.takeUtilisation(at)};
         observeLoopDelay(load.delay);
+        m_memoryWatch.observe(m_memory, m_callerServer.evictions() + m_egressServer.evictions() + m_peerServer.evictions(), at);
         m_target.observeNodeLoad(load, at);
     });
     m_timers.subscribe(now, CleanupInterval, [this](time_point at) {
--- a/src/ragwortpin/node/data_plane.h
+++ b/src/ragwortpin/node/data_plane.h
@@ -7,6 +7,7 @@
 #include "ragwortpin/http/server.h"
 #include "ragwortpin/node/events.h"
 #include "ragwortpin/node/fleet_driver.h"
+#include "ragwortpin/node/memory_watch.h"
 #include "ragwortpin/node/once_gateway.h"
 #include "ragwortpin/node/rate_driver.h"
 #include "ragwortpin/node/settings.h"
@@ -126,6 +127,8 @@
     loop_meter m_loopMeter;
     distribution &m_loopDelay;
     bool m_isLoopDelayed{false};
+    memory_budget m_memory;
+    memory_watch m_memoryWatch;
     http_client_pool m_client;
     instance_directory m_directory;
     target_gateway m_target;
--- a/src/ragwortpin/node/once_gateway.cpp
+++ b/src/ragwortpin/node/once_gateway.cpp
@@ -23,7 +23,7 @@
     const auto &request = call.request;
     return {.workspace = call.context.workspace,
             .idempotencyKey = std::string{request["Idempotency-Key"]},
-            .fingerprint = fingerprintRequest(toStd(request.method_string()), toStd(request.target()), request.body()),
+            .fingerprint = fingerprintRequest(toStd(request.method_string()), toStd(request.target()), request.body().text()),
             .attempt = attempt,
             .wallClock = wallClockNow()};
 }
--- a/src/ragwortpin/node/settings.cpp
+++ b/src/ragwortpin/node/settings.cpp
@@ -3,6 +3,8 @@
 #include "ragwortpin/config/yaml_reader.h"
 #include "ragwortpin/core/names.h"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <array>
 #include <sstream>
@@ -114,7 +116,7 @@
     section->finish();
 }
 
-void readLimits(yaml_reader &reader, http_limits &limits)
+void readLimits(yaml_reader &reader, http_limits &limits, std::size_t &memoryBytes)
 {
     auto section = reader.readMapping("limits");
     if (!section) {
@@ -126,6 +128,7 @@
     limits.requestBodyBytes = section->readInteger("request_body_bytes", {0, 64 * Mebibyte}, limits.requestBodyBytes);
     limits.responseBodyBytes = section->readInteger("response_body_bytes", {Kibibyte, 256 * Mebibyte}, limits.responseBodyBytes);
     limits.connections = section->readInteger("connections", {1, 65536}, limits.connections);
+    memoryBytes = section->readInteger("memory_mb", {64, Mebibyte}, memoryBytes / Mebibyte) * Mebibyte;
     limits.idleTimeout = section->readMilliseconds("idle_timeout_ms", {milliseconds{100}, milliseconds{3'600'000}}, seconds{30});
     section->finish();
 }
@@ -238,6 +241,14 @@
 
 } // namespace
 
+std::size_t machineMemory() noexcept
+{
+    constexpr std::size_t UnknownMemory{256UL * 1024UL * 1024UL};
+    const auto pages = ::sysconf(_SC_PHYS_PAGES);
+    const auto pageBytes = ::sysconf(_SC_PAGESIZE);
+    return pages > 0 && pageBytes > 0 ? static_cast<std::size_t>(pages) * static_cast<std::size_t>(pageBytes) : UnknownMemory;
+}
+
 node_settings_result parseNodeSettings(const std::string &file, const std::string &text, const settings_extension &extension)
 {
     node_settings_result result;
@@ -259,7 +270,7 @@
     readOverload(reader, settings.overload);
     readConfigurationSettings(reader, settings.configuration);
     settings.rateMethod = readRateMethod(reader);
-    readLimits(reader, settings.limits);
+    readLimits(reader, settings.limits, settings.memoryBytes);
     readTelemetry(reader, settings);
     readShutdown(reader, settings.shutdown);
     readRates(reader, settings);
--- a/src/ragwortpin/node/settings.h
+++ b/src/ragwortpin/node/settings.h
@@ -13,6 +13,7 @@
 #include "ragwortpin/runtime/logging.h"
 #include "ragwortpin/targets/assignment.h"
 
+#include <cstddef>
 #include <functional>
 #include <optional>
 #include <string>
@@ -20,6 +21,9 @@
 
 namespace ragwortpin {
 
+/** Returns the memory of the machine, in bytes. */
+[[nodiscard]] std::size_t machineMemory() noexcept;
+
 /** Addresses that a node binds. All hosts are numeric IP addresses. */
 struct node_addresses
 {
@@ -134,6 +138,8 @@
     configuration_settings configuration;
     rate_method rateMethod{rate_method::Slots};
     http_limits limits;
+    /** Memory that the process may use, in bytes. Messages get a part of it. */
+    std::size_t memoryBytes{machineMemory()};
     /** OTLP/HTTP collector that spans are exported to. If absent, no spans are exported. */
     std::optional<endpoint> collector;
     /** Fraction of new traces that are sampled. */
--- a/src/ragwortpin/operators/fleet_status.cpp
+++ b/src/ragwortpin/operators/fleet_status.cpp
@@ -47,7 +47,7 @@
         report = failedReport(
             address, "answered " + std::to_string(result.response->result_int()) + " to GET /status; check that this is its admin address");
     } else {
-        report = parseNodeStatus(address, result.response->body());
+        report = parseNodeStatus(address, result.response->body().text());
     }
 }
 
--- a/src/ragwortpin/retries/retries.cpp
+++ b/src/ragwortpin/retries/retries.cpp
@@ -18,6 +18,7 @@
     case refusal_kind::NoInstance:
     case refusal_kind::AnswerLost:
     case refusal_kind::ContextInvalid:
+    case refusal_kind::MemoryShort:
         return true;
     default:
         return false;
--- a/src/ragwortpin/store/client.cpp
+++ b/src/ragwortpin/store/client.cpp
@@ -78,7 +78,7 @@
                 continue;
             }
             if (result.progress == exchange_progress::Answered) {
-                reply = m_settings.protocol.decode(request, result.response->result_int(), result.response->body());
+                reply = m_settings.protocol.decode(request, result.response->result_int(), result.response->body().text());
             } else {
                 reply.error = internal::toStoreError(result.error);
             }
--- a/tests/operators/admin_server_test.cpp
+++ b/tests/operators/admin_server_test.cpp
@@ -93,7 +93,7 @@
     }
     REQUIRE(announcements.size() == 1);
     CHECK(announcements.front() == target_announcement{"clips", {"127.0.0.1", 9100}, 35, 300});
-    CHECK(server.handleRequest({http::verb::get, "/metrics", 11}).body().find("ragwortpin_requests_total 3") != std::string::npos);
+    CHECK(server.handleRequest({http::verb::get, "/metrics", 11}).body().text().find("ragwortpin_requests_total 3") != std::string::npos);
 
     accepts = false;
     CHECK(server.handleRequest({http::verb::post, "/target/drain", 11}).result_int() == 503);
--- a/tests/system/cluster.cpp
+++ b/tests/system/cluster.cpp
@@ -187,6 +187,19 @@
     }
 }
 
+std::size_t cluster::residentBytes(const std::string &process) const
+{
+    const auto found = m_processes.find(process);
+    if (found == m_processes.end()) {
+        return 0;
+    }
+    std::ifstream statm{"/proc/" + std::to_string(found->second) + "/statm"};
+    std::size_t pages{0};
+    std::size_t residentPages{0};
+    statm >> pages >> residentPages;
+    return residentPages * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+}
+
 std::string cluster::addressOf(std::uint16_t port) const
 {
     return m_address + ':' + std::to_string(port);
--- a/tests/system/cluster.h
+++ b/tests/system/cluster.h
@@ -74,6 +74,9 @@
     /** Returns whether a process that the test did not end is still running. */
     [[nodiscard]] bool isRunning(const std::string &process);
 
+    /** Returns the resident memory of a process in bytes; 0 if it does not run. */
+    [[nodiscard]] std::size_t residentBytes(const std::string &process) const;
+
     /** Sets the faults of a stand-in at its port. */
     void setFaults(int port, const std::string &body);
 
--- a/tests/system/end_to_end_test.cpp
+++ b/tests/system/end_to_end_test.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
 
 #include <catch2/catch.hpp>
 
--- a/tests/system/platform_fleet.cpp
+++ b/tests/system/platform_fleet.cpp
@@ -57,8 +57,8 @@
 
 } // namespace
 
-threaded_listener::threaded_listener(const endpoint &local, http_handler handler)
-    : m_server{std::make_unique<http_server>(m_context, http_limits{}, std::move(handler), [](refusal_kind) {})}
+threaded_listener::threaded_listener(const endpoint &local, http_handler handler, http_limits limits)
+    : m_server{std::make_unique<http_server>(m_context, limits, std::move(handler), [](refusal_kind) {})}
 {
     INFO(local.address << ':' << local.port);
     REQUIRE_FALSE(m_server->listen(local));
@@ -156,11 +156,13 @@
         + std::to_string(heartbeat.startedAt) + '}';
 }
 
-platform_target::platform_target(const endpoint &local, std::string id)
+platform_target::platform_target(const endpoint &local, std::string id, http_limits limits)
     : m_id{std::move(id)}
-    , m_listener{local, [this](http_request request, const std::shared_ptr<call_control> &) {
+    , m_listener{local,
+                 [this](http_request request, const std::shared_ptr<call_control> &) {
                      return serve(std::move(request));
-                 }}
+                 },
+                 limits}
 { }
 
 std::vector<target_run> platform_target::runs() const
@@ -199,7 +201,91 @@
         + "], timeout_ms: 1200}\nnetwork_secret: " + store
         + "\ndiscovery_prefix: \"ragwortpin/nodes/\"\ngrace: 6s\n"
           "configuration: {zone_poll_interval_ms: 300, start_grace_ms: 0, start_spread_ms: 50, watch: true, longest_proof_age_ms: 4600}\n"
+          "limits: {header_bytes: 65536, request_body_bytes: 67108864, connections: 2000, memory_mb: 260, idle_timeout_ms: 120000}\n"
           "overload: {cold_start: false, adaptive_limit: false, plan_admission: true}\nrate_method: shared\n";
 }
 
+std::string twoServiceConfiguration()
+{
+    return R"({"version":7,"resource_list":[
+  {"resource_kind":"services","metadata":{"name":"profiles"},"spec":{"health_path":"/health"}},
+  {"resource_kind":"services","metadata":{"name":"bookings"},"spec":{"health_path":"/health"}},
+  {"resource_kind":"tenants","metadata":{"name":"family"},"spec":{"api_keys":["6wsjnbanfqasnmgkcuyj"]}},
+  {"resource_kind":"routes","metadata":{"name":"book"},"spec":{"host":"book.example","path_prefix":"/book/","service":"bookings",
+    "kind":"non_idempotent","timeout":"3000ms","max_attempts":2,"priority":1}},
+  {"resource_kind":"routes","metadata":{"name":"look"},"spec":{"host":"look.example","path_prefix":"/look/","service":"profiles",
+    "kind":"idempotent","timeout":"3000ms","max_attempts":2,"priority":1}}]})";
+}
+
+std::uint64_t wallClockMilliseconds()
+{
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(wallClockNow()).count());
+}
+
+machine_fixture::machine_fixture(
+    std::string name, std::string service, const std::string &ip, std::string storeAddress, http_limits targetLimits)
+    : spec{std::move(name), std::move(service), ip}
+    , storeIp{std::move(storeAddress)}
+    , target{{ip, AppPort}, "i-" + spec.name, targetLimits}
+    , host{ip}
+    , startedAt{wallClockMilliseconds()}
+{
+    startNode();
+}
+
+void machine_fixture::startNode()
+{
+    const auto file = host.writeFile("node.yaml", settingsOf(spec, storeIp));
+    host.startProgram("node", "ragwortpin-platform-node", {"--settings", file});
+}
+
+unsigned machine_fixture::announce(const platform_heartbeat &heartbeat)
+{
+    return host.request(http::verb::post, ControlPort, "/-/Instances.Heartbeat/" + heartbeat.id, {}, toBody(heartbeat)).status;
+}
+
+platform_heartbeat machine_fixture::nextHeartbeat()
+{
+    return {.id = "i-" + spec.name,
+            .service = spec.service,
+            .address = spec.ip + ':' + std::to_string(AppPort),
+            .sequence = ++sequence,
+            .startedAt = startedAt};
+}
+
+unsigned machine_fixture::announceTarget()
+{
+    return announce(nextHeartbeat());
+}
+
+void machine_fixture::changeService(const std::string &service)
+{
+    spec.service = service;
+    host.writeFile("node.yaml", settingsOf(spec, storeIp));
+}
+
+test_response machine_fixture::send(http::verb method, const std::string &route, const std::string &id)
+{
+    return host.request(method,
+                        OutboundPort,
+                        '/' + route + "/1",
+                        {{"Host", route + ".example"},
+                         {"Authorization", std::string{"Bearer "} + PlatformApiKey},
+                         {"X-Ragwortpin-Attempt-Id", id},
+                         {"X-Ragwortpin-Deadline-Ms", "3000"}});
+}
+
+fleet_fixture::fleet_fixture(const std::string &net, http_limits targetLimits)
+    : store{{net + '1', PlatformStorePort}}
+    , front{"front", "profiles", net + '2', net + '1', targetLimits}
+    , back{"back", "bookings", net + '3', net + '1', targetLimits}
+{
+    store.put("op/config", twoServiceConfiguration());
+    front.host.waitUntil("both machines serve each other's requests", [this] {
+        static_cast<void>(front.announceTarget());
+        static_cast<void>(back.announceTarget());
+        return front.send(http::verb::post, "book", "warm").status == 200 && back.send(http::verb::get, "look", "warm").status == 200;
+    });
+}
+
 } // namespace ragwortpin::test
--- a/tests/system/platform_fleet.h
+++ b/tests/system/platform_fleet.h
@@ -8,7 +8,6 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 
-#include <atomic>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -23,7 +22,7 @@
 class threaded_listener
 {
 public:
-    threaded_listener(const endpoint &local, http_handler handler);
+    threaded_listener(const endpoint &local, http_handler handler, http_limits limits = {});
     threaded_listener(const threaded_listener &) = delete;
     threaded_listener &operator=(const threaded_listener &) = delete;
     ~threaded_listener();
@@ -94,7 +93,7 @@
 class platform_target
 {
 public:
-    platform_target(const endpoint &local, std::string id);
+    platform_target(const endpoint &local, std::string id, http_limits limits = {});
 
     /** Requests that ran, in order of arrival. */
     [[nodiscard]] std::vector<target_run> runs() const;
@@ -126,6 +125,56 @@
 /** Returns the settings that the node of a machine is started with, as deploy/settings.template gives them. */
 [[nodiscard]] std::string settingsOf(const platform_machine &machine, const std::string &storeIp);
 
+/** Returns the text of a configuration of the platform with the services `profiles` and `bookings` and a route to each. */
+[[nodiscard]] std::string twoServiceConfiguration();
+
+/** Key of the only workspace of twoServiceConfiguration(). */
+inline constexpr const char *PlatformApiKey{"6wsjnbanfqasnmgkcuyj"};
+
+/** One machine with its node process and target. Its target sends the heartbeats that the test asks for. */
+struct machine_fixture
+{
+    machine_fixture(std::string name, std::string service, const std::string &ip, std::string storeAddress, http_limits targetLimits = {});
+
+    /** Starts the node process. */
+    void startNode();
+
+    /** Sends a heartbeat to the node and returns the status of its response. */
+    unsigned announce(const platform_heartbeat &heartbeat);
+
+    /** Returns the next heartbeat of the target itself. */
+    platform_heartbeat nextHeartbeat();
+
+    /** Sends the next heartbeat of the target itself. */
+    unsigned announceTarget();
+
+    /** Writes settings that name another service, without a signal to the process. */
+    void changeService(const std::string &service);
+
+    /** Sends a request on the route of the given name through the node. */
+    test_response send(http::verb method, const std::string &route, const std::string &id);
+
+    platform_machine spec;
+    std::string storeIp;
+    platform_target target;
+    cluster host;
+    std::uint64_t startedAt;
+    std::uint64_t sequence{0};
+};
+
+/** Returns the time of day in milliseconds since the Unix epoch. */
+[[nodiscard]] std::uint64_t wallClockMilliseconds();
+
+/** Two machines whose targets serve each other's requests. The last part of their addresses is 2 and 3. */
+struct fleet_fixture
+{
+    explicit fleet_fixture(const std::string &net, http_limits targetLimits = {});
+
+    platform_store store;
+    machine_fixture front;
+    machine_fixture back;
+};
+
 } // namespace ragwortpin::test
 
 #endif
