Store that a target leaves, so that a restarted node does not believe a delayed heartbeat of it

Cause: what a node knows of departures ended with its process.

Ruled out: peers that hold the instance for ready (requests come through its own node only); the order of heartbeats (the list of departures is empty after the restart).

Change: the departure or the drain is written to the store and read once at the start.

--- a/src/ragwortpin/node/data_plane.cpp
+++ b/src/ragwortpin/node/data_plane.cpp
@@ -98,8 +98,8 @@
                     }}
     , fromStore{m_context,
                 StoreMailboxCapacity,
-                [this](const rate_reply_event &event) {
-                    m_rates.receiveReply(event.token, event.reply);
+                [this](const store_event &event) {
+                    handle(event);
                 }}
     , fromClaims{m_context,
                  StoreMailboxCapacity,
@@ -209,6 +209,7 @@
                    observeAbandoned("peers", metrics),
                    m_memory}
 {
+    m_announcementHistory.awaitsRestore = static_cast<bool>(m_services.storeDeparture);
     metrics.gauge("ragwortpin_mailbox_rejected", [this] {
         return static_cast<double>(fromControl.rejected() + fromOperators.rejected() + fromStore.rejected() + fromClaims.rejected());
     });
@@ -341,7 +342,11 @@
 
 void data_plane::handleAnnouncement(const target_announcement &announcement)
 {
-    if (recordAnnouncement(m_announcementHistory, announcement, monotonicNow()) == announcement_verdict::Stale) {
+    const auto verdict = recordAnnouncement(m_announcementHistory, announcement, monotonicNow());
+    if (verdict == announcement_verdict::Deferred) {
+        return;
+    }
+    if (verdict == announcement_verdict::Stale) {
         logEvent(log_level::Warning,
                  "announcement_stale",
                  {{"incarnation", announcement.incarnation}, {"sequence", std::to_string(announcement.sequence)}});
@@ -363,6 +368,9 @@
     effective.connections = effective.connections > 0 ? effective.connections : connectionLimit(effective.service);
     m_target.announce(effective, monotonicNow());
     if (announcement.draining) {
+        if (!m_targetDraining) {
+            storeDeparture(false);
+        }
         startDraining("announced");
         return;
     }
@@ -386,10 +394,45 @@
 void data_plane::handleDeparture(const target_departure &departure)
 {
     if (recordDeparture(m_announcementHistory, departure)) {
+        storeDeparture(true);
         startDraining("departed");
     }
 }
 
+/** Stores that the announced target drains or has ended, so that this node does not use it again after a restart. */
+void data_plane::storeDeparture(bool hasEnded)
+{
+    const auto &latest = m_announcementHistory.latest;
+    if (m_services.storeDeparture && latest) {
+        m_services.storeDeparture({latest->incarnation, latest->startedAt, latest->sequence, hasEnded});
+    }
+}
+
+void data_plane::handle(const store_event &event)
+{
+    if (const auto *reply = std::get_if<rate_reply_event>(&event)) {
+        m_rates.receiveReply(reply->token, reply->reply);
+    } else if (const auto *departure = std::get_if<departure_event>(&event)) {
+        restore(departure->record);
+    }
+}
+
+/** Applies the departure that was stored before this process started, and the announcement that waited for it. */
+void data_plane::restore(const std::optional<departure_record> &record)
+{
+    const auto deferred = restoreDeparture(m_announcementHistory, record);
+    if (record) {
+        logEvent(
+            log_level::Info, "departure_restored", {{"incarnation", record->incarnation}, {"ended", record->hasEnded ? "true" : "false"}});
+    }
+    if (isLatestDeparted(m_announcementHistory)) {
+        startDraining("restored");
+    }
+    if (deferred) {
+        handleAnnouncement(*deferred);
+    }
+}
+
 void data_plane::startDraining(std::string_view reason)
 {
     if (!m_targetDraining) {
--- a/src/ragwortpin/node/data_plane.h
+++ b/src/ragwortpin/node/data_plane.h
@@ -38,6 +38,8 @@
     /** Announces the node's own membership record. Returns false if the caller has to retry. */
     std::function<bool(const instance_record &)> announceOwnRecord;
     rate_driver_outputs rates;
+    /** Stores that the target leaves. Empty if departures are not stored. */
+    std::function<void(departure_record)> storeDeparture{};
     digest_sender sendDigests;
     claim_sender claims;
     span_sink spans;
@@ -76,7 +78,7 @@
     /** Mailboxes of the data thread. Each has exactly one producer thread. */
     mailbox<control_event> fromControl;
     mailbox<operator_event> fromOperators;
-    mailbox<rate_reply_event> fromStore;
+    mailbox<store_event> fromStore;
     mailbox<claim_reply> fromClaims;
 
     /** Returns the state that the node announces to its peers. May be called from any thread. */
@@ -103,6 +105,9 @@
     void applyAnnouncement(const target_announcement &announcement);
     void handleRefutation(const std::string &incarnation);
     void handleDeparture(const target_departure &departure);
+    void handle(const store_event &event);
+    void restore(const std::optional<departure_record> &record);
+    void storeDeparture(bool hasEnded);
     void startDraining(std::string_view reason);
     [[nodiscard]] std::uint32_t connectionLimit(const std::string &service) const;
     [[nodiscard]] std::string ownService() const;
--- a/src/ragwortpin/node/events.h
+++ b/src/ragwortpin/node/events.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -55,6 +56,12 @@
 /** Events that the admin thread sends to the data thread. */
 using operator_event = std::variant<std::monostate, target_assignment, target_announcement, target_departure, drain_event, shutdown_event>;
 
+/** What the store says of the target's last departure before this process started. */
+struct departure_event
+{
+    std::optional<departure_record> record;
+};
+
 /** Reply to a store call of the workspace rate limiter. */
 struct rate_reply_event
 {
@@ -62,6 +69,12 @@
     store_reply reply;
 };
 
+/** Events that the store thread sends to the data thread. */
+using store_event = std::variant<std::monostate, rate_reply_event, departure_event>;
+
+/** Commands that the data thread sends to the store thread. */
+using store_command = std::variant<std::monostate, rights_store_call, departure_record>;
+
 } // namespace ragwortpin
 
 #endif
--- a/src/ragwortpin/node/node.cpp
+++ b/src/ragwortpin/node/node.cpp
@@ -11,6 +11,7 @@
 #include "ragwortpin/peers/control_duty.h"
 #include "ragwortpin/runtime/guard.h"
 #include "ragwortpin/store/client.h"
+#include "ragwortpin/targets/departure_record.h"
 #include "ragwortpin/telemetry/span_exporter.h"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -171,6 +172,14 @@
                 logEvent(log_level::Warning, "store_call_rejected", {{"token", std::to_string(token)}});
             }
         };
+        if (!m_settings.discoveryPrefix.empty()) {
+            services.storeDeparture = [this](departure_record record) {
+                if (!m_store.fromData.trySend(std::move(record))) {
+                    logEvent(
+                        log_level::Warning, "departure_not_stored", {{"remedy", "none needed unless this process is started again soon"}});
+                }
+            };
+        }
         services.claims = [this](claim_command command) {
             return m_claims.fromData.trySend(std::move(command));
         };
@@ -204,6 +213,10 @@
                             logEvent(log_level::Warning, "store_reply_dropped");
                         }
                     },
+                .handleDeparture =
+                    [this](departure_event event) {
+                        return m_data.fromStore.trySend(std::move(event));
+                    },
                 .handleDiscovery =
                     [this](const discovery_result &result) {
                         applyDiscovery(result);
@@ -220,6 +233,9 @@
         store_duty_settings result;
         result.discovery.prefix = m_settings.discoveryPrefix;
         result.discovery.instance = m_settings.instance;
+        if (!m_settings.discoveryPrefix.empty()) {
+            result.departureKey = std::string{DepartureKeyPrefix} + m_settings.instance;
+        }
         result.discovery.self = {m_settings.addresses.gossip.address, m_settings.addresses.gossip.port};
         std::random_device device;
         result.randomSeed = device();
--- a/src/ragwortpin/node/store_duty.cpp
+++ b/src/ragwortpin/node/store_duty.cpp
@@ -3,7 +3,9 @@
 #include "ragwortpin/config/publication.h"
 #include "ragwortpin/config/serialise.h"
 #include "ragwortpin/runtime/guard.h"
+#include "ragwortpin/runtime/logging.h"
 #include "ragwortpin/store/error.h"
+#include "ragwortpin/targets/departure_record.h"
 
 #include <utility>
 
@@ -13,6 +15,8 @@
 
 constexpr std::size_t HeadReadCapacity{8};
 constexpr std::size_t RateCallCapacity{64};
+/** Pause before a departure is read or stored again after a failure. */
+constexpr milliseconds DepartureRetryInterval{500};
 
 } // namespace
 
@@ -39,6 +43,7 @@
     store_call call, head_reader reader, store_duty_settings settings, store_duty_outputs outputs, metrics_registry &metrics)
     : m_workGuard{m_context.get_executor()}
     , m_discoveryTimer{m_context}
+    , m_departureTimer{m_context}
     , m_reader{std::move(reader)}
     , m_settings{std::move(settings)}
     , m_random{m_settings.randomSeed}
@@ -59,8 +64,8 @@
                       reply.askedAt = askedAt;
                       m_outputs.handleHeadReply(std::move(reply));
                   }}
-    , fromData{m_context, RateCallCapacity, [this](const rights_store_call &event) {
-                   m_outputs.handleRateReply({event.token, m_call(event.request)});
+    , fromData{m_context, RateCallCapacity, [this](const store_command &command) {
+                   runCommand(command);
                }}
 {
     m_call = [this, inner = std::move(call)](const store_request &request) {
@@ -85,6 +90,11 @@
     if (!m_settings.discovery.prefix.empty()) {
         scheduleDiscovery(duration::zero());
     }
+    if (!m_settings.departureKey.empty()) {
+        boost::asio::post(m_context, [this] {
+            syncDeparture();
+        });
+    }
     m_thread = std::thread{[this] {
         runGuardedLoop("store", m_context);
     }};
@@ -98,6 +108,45 @@
     }
 }
 
+void store_duty::runCommand(const store_command &command)
+{
+    if (const auto *call = std::get_if<rights_store_call>(&command)) {
+        m_outputs.handleRateReply({call->token, m_call(call->request)});
+    } else if (const auto *departure = std::get_if<departure_record>(&command)) {
+        m_unstoredDeparture = *departure;
+        syncDeparture();
+    }
+}
+
+/** Reads the stored departure once, then stores the departure that is not stored yet. After a failure, tries again until it succeeds. */
+void store_duty::syncDeparture()
+{
+    if (m_settings.departureKey.empty()) {
+        return;
+    }
+    if (!m_isDepartureRead) {
+        const auto reading = readDeparture(m_call, m_settings.departureKey);
+        if (reading.isMalformed) {
+            logEvent(log_level::Warning, "stored_departure_malformed", {{"key", m_settings.departureKey}});
+        }
+        m_isDepartureRead = !reading.error && m_outputs.handleDeparture({reading.record});
+    }
+    if (m_isDepartureRead && m_unstoredDeparture && !writeDeparture(m_call, m_settings.departureKey, *m_unstoredDeparture)) {
+        m_unstoredDeparture.reset();
+    }
+    if (m_isDepartureRead && !m_unstoredDeparture) {
+        return;
+    }
+    m_departureTimer.expires_after(DepartureRetryInterval);
+    m_departureTimer.async_wait([this](boost::system::error_code error) {
+        if (!error) {
+            runGuarded("departures", [this] {
+                syncDeparture();
+            });
+        }
+    });
+}
+
 void store_duty::scheduleDiscovery(duration delay)
 {
     m_discoveryTimer.expires_after(delay);
--- a/src/ragwortpin/node/store_duty.h
+++ b/src/ragwortpin/node/store_duty.h
@@ -15,7 +15,9 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <random>
+#include <string>
 #include <thread>
 
 namespace ragwortpin {
@@ -31,6 +33,8 @@
 {
     std::function<void(head_reply)> handleHeadReply;
     std::function<void(rate_reply_event)> handleRateReply;
+    /** Called once, with the departure that was stored before this process started. Returns false if it has to be called again. */
+    std::function<bool(departure_event)> handleDeparture;
     /** Called after each discovery run. */
     std::function<void(const discovery_result &)> handleDiscovery;
 };
@@ -46,6 +50,8 @@
 {
     /** An empty prefix disables discovery. */
     discovery_settings discovery;
+    /** Key under which the departures of the target are stored; empty if they are not. */
+    std::string departureKey{};
     /** Mean interval between discovery runs: the initial one, and the one used after a few successful runs. */
     duration initialDiscoveryInterval{milliseconds{700}};
     duration discoveryInterval{seconds{20}};
@@ -55,7 +61,7 @@
 /** Default head_reader: reads the published head revision, and its content if it is newer than the given revision. */
 [[nodiscard]] head_reply readHead(const store_call &call, std::uint64_t revisionInForce);
 
-/** Worker thread that makes the blocking store calls for configuration distribution, workspace rates and discovery. */
+/** Worker thread that makes the blocking store calls for configuration distribution, workspace rates, discovery and departures. */
 class store_duty
 {
 public:
@@ -78,15 +84,21 @@
 private:
     void scheduleDiscovery(duration delay);
     void runDiscovery();
+    void runCommand(const store_command &command);
+    void syncDeparture();
 
     boost::asio::io_context m_context{1};
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_workGuard;
     boost::asio::steady_timer m_discoveryTimer;
+    boost::asio::steady_timer m_departureTimer;
     store_call m_call;
     head_reader m_reader;
     store_duty_settings m_settings;
     std::mt19937_64 m_random;
     unsigned m_successfulDiscoveries{0};
+    bool m_isDepartureRead{false};
+    /** Departure that is not stored yet. */
+    std::optional<departure_record> m_unstoredDeparture;
     std::atomic<std::int64_t> m_lastRevision{0};
     store_duty_outputs m_outputs;
     counter &m_calls;
@@ -96,7 +108,7 @@
 public:
     /** Mailboxes of the thread. Each has exactly one producer thread. */
     mailbox<read_head_request> fromControl;
-    mailbox<rights_store_call> fromData;
+    mailbox<store_command> fromData;
 };
 
 } // namespace ragwortpin
--- a/src/ragwortpin/targets/announcement.cpp
+++ b/src/ragwortpin/targets/announcement.cpp
@@ -38,6 +38,22 @@
     return hasDeparted(history.departed, announcement) || hasDeparted(history.departedUnannounced, announcement);
 }
 
+/** Returns whether the restored departure says that the start of an announcement had left when the announcement was sent. */
+bool isBeforeRestored(const announcement_history &history, const target_announcement &announcement)
+{
+    const auto &restored = history.restored;
+    if (!restored || announcement.incarnation != restored->incarnation || announcement.startedAt > restored->startedAt) {
+        return false;
+    }
+    return restored->hasEnded
+        || (!announcement.draining && announcement.startedAt == restored->startedAt && announcement.sequence <= restored->sequence);
+}
+
+bool isConfirmed(const announcement_history &history, const target_announcement &announcement)
+{
+    return history.deferred && isSameStart(*history.deferred, announcement) && announcement.sequence > history.deferred->sequence;
+}
+
 bool isRefuted(const announcement_history &history, const target_announcement &announcement, time_point now)
 {
     return std::any_of(history.refuted.begin(), history.refuted.end(), [&](const refuted_start &refuted) {
@@ -98,10 +114,15 @@
 
 announcement_verdict recordAnnouncement(announcement_history &history, const target_announcement &announcement, time_point now)
 {
-    if (hasDeparted(history, announcement) || isRefuted(history, announcement, now)) {
+    if (hasDeparted(history, announcement) || isRefuted(history, announcement, now) || isBeforeRestored(history, announcement)) {
         return announcement_verdict::Stale;
     }
     if (!history.latest) {
+        if (history.awaitsRestore && !announcement.draining && !isConfirmed(history, announcement)) {
+            history.deferred = announcement;
+            return announcement_verdict::Deferred;
+        }
+        history.deferred.reset();
         accept(history, announcement, now);
         return announcement_verdict::Accepted;
     }
@@ -135,6 +156,18 @@
     return true;
 }
 
+std::optional<target_announcement> restoreDeparture(announcement_history &history, const std::optional<departure_record> &record)
+{
+    history.awaitsRestore = false;
+    history.restored = record;
+    return std::exchange(history.deferred, std::nullopt);
+}
+
+bool isLatestDeparted(const announcement_history &history)
+{
+    return history.latest && isBeforeRestored(history, *history.latest);
+}
+
 bool refuteIncarnation(announcement_history &history, const std::string &incarnation, time_point now)
 {
     if (!history.latest || history.latest->incarnation != incarnation) {
--- a/src/ragwortpin/targets/announcement.h
+++ b/src/ragwortpin/targets/announcement.h
@@ -46,6 +46,19 @@
     bool operator==(const target_departure &) const = default;
 };
 
+/** That a start of the target drains or has ended. Kept outside the process, so that it outlives a restart of the node. */
+struct departure_record
+{
+    std::string incarnation;
+    std::uint64_t startedAt{0};
+    /** Sequence number of the latest announcement. */
+    std::uint64_t sequence{0};
+    /** Whether the start has departed; otherwise it drains. */
+    bool hasEnded{false};
+
+    bool operator==(const departure_record &) const = default;
+};
+
 /** One start of a target. */
 struct target_start
 {
@@ -89,6 +102,12 @@
     /** Starts that departed without an announcement. Kept apart, since anybody can name any number of them. */
     std::vector<target_start> departedUnannounced;
     std::vector<refuted_start> refuted;
+    /** Departure that was recorded before this process started. */
+    std::optional<departure_record> restored;
+    /** Whether it is still unknown what was recorded before this process started. */
+    bool awaitsRestore{false};
+    /** Announcement that waits until that is known. */
+    std::optional<target_announcement> deferred;
 
     bool operator==(const announcement_history &) const = default;
 };
@@ -99,6 +118,8 @@
     Accepted,
     /** The announcement was ignored: it is older than the latest one, or of an incarnation that has departed or was refuted. */
     Stale,
+    /** The announcement is not applied before earlier departures are known, or a later announcement confirms it. */
+    Deferred,
 };
 
 /** Time without a current announcement after which a rival that goes on announcing itself takes over. Several heartbeat intervals. */
@@ -114,6 +135,9 @@
  * None of this lasts, since start times and sequence numbers can be wrong: after AnnouncementSilence without a current announcement, a
  * sender that was ignored and goes on announcing itself is accepted. That a target drains is accepted of the latest start whatever its
  * sequence number, and ignored of any other start while the latest one is heard of.
+ *
+ * After a restart of the node, a delayed announcement may be of a target that left before. While awaitsRestore is set, the first
+ * announcement of a start is therefore deferred; the next one of the same start, with a higher sequence number, is accepted.
  */
 [[nodiscard]] announcement_verdict
 recordAnnouncement(announcement_history &history, const target_announcement &announcement, time_point now);
@@ -121,6 +145,16 @@
 /** Records a departure. Returns true if it is of the incarnation that sent the latest announcement. */
 [[nodiscard]] bool recordDeparture(announcement_history &history, const target_departure &departure);
 
+/**
+ * Adds the departure that was recorded before this process started, if there was one. Returns the deferred announcement, which has to be
+ * recorded again.
+ */
+[[nodiscard]] std::optional<target_announcement> restoreDeparture(announcement_history &history,
+                                                                  const std::optional<departure_record> &record);
+
+/** Returns whether the start that sent the latest announcement has left according to the restored departure. */
+[[nodiscard]] bool isLatestDeparted(const announcement_history &history);
+
 /**
  * Records that the target refused a request since it is not the given incarnation. If the latest announcement is of this incarnation, it is
  * dropped, and the announcement it displaced is the latest again if it was heard of within AnnouncementSilence. Returns whether the latest
--- a/tests/targets/announcement_test.cpp
+++ b/tests/targets/announcement_test.cpp
@@ -3,7 +3,9 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace ragwortpin;
@@ -214,3 +216,58 @@
         }
     });
 }
+
+TEST_CASE("after a restart of the node, announcements are applied only if their sender cannot have left before")
+{
+    struct restore_case
+    {
+        std::string name;
+        std::optional<departure_record> stored;
+        target_announcement announcement;
+        announcement_verdict verdict;
+    };
+    const departure_record ended{"b", 200, 5, true};
+    const departure_record drains{"b", 200, 5, false};
+    auto draining = makeAnnouncement("b", 200, 4);
+    draining.draining = true;
+    const std::vector<restore_case> cases{
+        {"nothing stored", std::nullopt, makeAnnouncement("b", 200, 1), announcement_verdict::Accepted},
+        {"the start that ended", ended, makeAnnouncement("b", 200, 6), announcement_verdict::Stale},
+        {"an earlier start of it", ended, makeAnnouncement("b", 100, 9), announcement_verdict::Stale},
+        {"a later start of it", ended, makeAnnouncement("b", 201, 1), announcement_verdict::Accepted},
+        {"another target", ended, makeAnnouncement("c", 100, 1), announcement_verdict::Accepted},
+        {"sent before it drained", drains, makeAnnouncement("b", 200, 4), announcement_verdict::Stale},
+        {"sent after it drained", drains, makeAnnouncement("b", 200, 6), announcement_verdict::Accepted},
+        {"delayed notice that it drains", drains, draining, announcement_verdict::Accepted},
+    };
+    for (const auto &entry : cases) {
+        CAPTURE(entry.name);
+        announcement_history history;
+        history.awaitsRestore = true;
+        if (entry.announcement.draining) {
+            CHECK(recordAnnouncement(history, entry.announcement, time_point{}) == announcement_verdict::Accepted);
+            continue;
+        }
+        CHECK(recordAnnouncement(history, entry.announcement, time_point{}) == announcement_verdict::Deferred);
+        const auto deferred = restoreDeparture(history, entry.stored);
+        REQUIRE(deferred == entry.announcement);
+        CHECK(recordAnnouncement(history, *deferred, time_point{}) == entry.verdict);
+    }
+}
+
+TEST_CASE("while stored departures cannot be read, a second announcement of a start is accepted, and given up if it had left")
+{
+    const std::vector<std::pair<target_announcement, announcement_verdict>> next{
+        {makeAnnouncement("b", 200, 5), announcement_verdict::Deferred},
+        {makeAnnouncement("c", 200, 6), announcement_verdict::Deferred},
+        {makeAnnouncement("b", 200, 6), announcement_verdict::Accepted},
+    };
+    for (const auto &[announcement, verdict] : next) {
+        announcement_history history;
+        history.awaitsRestore = true;
+        REQUIRE(recordAnnouncement(history, makeAnnouncement("b", 200, 5), time_point{}) == announcement_verdict::Deferred);
+        CHECK(recordAnnouncement(history, announcement, time_point{}) == verdict);
+        static_cast<void>(restoreDeparture(history, departure_record{"b", 200, 9, true}));
+        CHECK(isLatestDeparted(history) == (verdict == announcement_verdict::Accepted));
+    }
+}
