Bound the log lines on messages that anybody can send

What operators saw: each heartbeat that contradicts the settings, cannot be used or is out of date wrote a line.

Cause: such events are no changes of state, but were logged as if they were.

Ruled out: the bounded queue of the writer as a limit; it bounds memory, not the lines written in a minute.

Change: logForeign() writes five lines of an event in 10 s and says in the next one how many were left out. Counters count all.

--- a/src/ragwortpin/node/data_plane.cpp
+++ b/src/ragwortpin/node/data_plane.cpp
@@ -347,9 +347,9 @@
         return;
     }
     if (verdict == announcement_verdict::Stale) {
-        logEvent(log_level::Warning,
-                 "announcement_stale",
-                 {{"incarnation", announcement.incarnation}, {"sequence", std::to_string(announcement.sequence)}});
+        logForeign(log_level::Warning,
+                   "announcement_stale",
+                   {{"incarnation", announcement.incarnation}, {"sequence", std::to_string(announcement.sequence)}});
         return;
     }
     applyAnnouncement(announcement);
@@ -359,7 +359,7 @@
 {
     const bool isNew{!m_target.announced() || m_target.announced()->incarnation != announcement.incarnation};
     if (isNew) {
-        logEvent(
+        logForeign(
             log_level::Info,
             "target_announced",
             {{"incarnation", announcement.incarnation}, {"service", announcement.service}, {"slots", std::to_string(announcement.slots)}});
@@ -384,7 +384,7 @@
 /** Returns to the target that the refuted incarnation had displaced, if that one still announces itself. */
 void data_plane::handleRefutation(const std::string &incarnation)
 {
-    logEvent(log_level::Warning, "target_refuted", {{"incarnation", incarnation}});
+    logForeign(log_level::Warning, "target_refuted", {{"incarnation", incarnation}});
     if (refuteIncarnation(m_announcementHistory, incarnation, monotonicNow()) && m_announcementHistory.latest) {
         const auto previous = *m_announcementHistory.latest;
         applyAnnouncement(previous);
--- a/src/ragwortpin/node/node.cpp
+++ b/src/ragwortpin/node/node.cpp
@@ -387,13 +387,13 @@
         }
         if (error) {
             m_refusedAnnouncements.add();
-            logEvent(log_level::Warning,
-                     "announcement_refused",
-                     {{"incarnation", announcement.incarnation},
-                      {"service", announcement.service},
-                      {"address", toText(announcement.address)},
-                      {"assigned_service", m_newestSettings.target.service},
-                      {"problem", error.message()}});
+            logForeign(log_level::Warning,
+                       "announcement_refused",
+                       {{"incarnation", announcement.incarnation},
+                        {"service", announcement.service},
+                        {"address", toText(announcement.address)},
+                        {"assigned_service", m_newestSettings.target.service},
+                        {"problem", error.message()}});
         }
         return error;
     }
--- a/src/ragwortpin/runtime/logging.cpp
+++ b/src/ragwortpin/runtime/logging.cpp
@@ -1,6 +1,7 @@
 #include "ragwortpin/runtime/logging.h"
 
 #include "ragwortpin/core/time.h"
+#include "ragwortpin/runtime/line_limit.h"
 #include "ragwortpin/runtime/quoting.h"
 
 #include <log4cplus/consoleappender.h>
@@ -14,8 +15,12 @@
 #include <condition_variable>
 #include <cstdio>
 #include <ctime>
+#include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
+#include <span>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -75,7 +80,12 @@
     line.append(text.data(), digits > 0 ? static_cast<std::size_t>(digits) : 0);
 }
 
-std::string formatLine(log_level level, std::string_view event, std::initializer_list<log_field> fields)
+std::span<const log_field> toSpan(std::initializer_list<log_field> fields) noexcept
+{
+    return {fields.begin(), fields.size()};
+}
+
+std::string formatLine(log_level level, std::string_view event, std::span<const log_field> fields)
 {
     constexpr std::size_t TypicalLineSize{192};
     std::string line;
@@ -123,7 +133,7 @@
     log_writer(const log_writer &) = delete;
     log_writer &operator=(const log_writer &) = delete;
 
-    void queue(log_level level, log_weight weight, std::string_view event, std::initializer_list<log_field> fields)
+    void queue(log_level level, log_weight weight, std::string_view event, std::span<const log_field> fields)
     {
         if (level < m_minLevel) {
             return;
@@ -197,10 +207,8 @@
             return;
         }
         m_writtenDropCounts = now;
-        root.log(log4cplus::WARN_LOG_LEVEL,
-                 formatLine(log_level::Warning,
-                            "log_lines_left_out",
-                            {{"ordinary", std::to_string(now.ordinary)}, {"important", std::to_string(now.important)}}));
+        const std::array fields{log_field{"ordinary", std::to_string(now.ordinary)}, log_field{"important", std::to_string(now.important)}};
+        root.log(log4cplus::WARN_LOG_LEVEL, formatLine(log_level::Warning, "log_lines_left_out", fields));
     }
 
     log_level m_minLevel;
@@ -222,6 +230,17 @@
     return instance;
 }
 
+/** Returns how many lines of the event were left out before, or nothing if this one is to be left out. The events are those of the code. */
+std::optional<std::uint64_t> admitForeign(std::string_view event)
+{
+    static std::mutex mutex;
+    static std::map<std::string, line_limit, std::less<>> limits;
+    const std::lock_guard lock{mutex};
+    const auto found = limits.find(event);
+    auto &limit = found == limits.end() ? limits[std::string{event}] : found->second;
+    return admitLine(limit, monotonicNow());
+}
+
 } // namespace
 
 void initialiseLogging(log_level lowest)
@@ -240,14 +259,28 @@
 void logEvent(log_level level, std::string_view event, std::initializer_list<log_field> fields)
 {
     if (writer()) {
-        writer()->queue(level, log_weight::Important, event, fields);
+        writer()->queue(level, log_weight::Important, event, toSpan(fields));
+    }
+}
+
+void logForeign(log_level level, std::string_view event, std::initializer_list<log_field> fields)
+{
+    if (!writer()) {
+        return;
+    }
+    const auto leftOut = admitForeign(event);
+    if (!leftOut) {
+        return;
     }
+    std::vector<log_field> all{fields};
+    all.push_back({"left_out", std::to_string(*leftOut)});
+    writer()->queue(level, log_weight::Important, event, all);
 }
 
 void logDecision(log_weight weight, std::string_view event, std::initializer_list<log_field> fields)
 {
     if (writer()) {
-        writer()->queue(log_level::Info, weight, event, fields);
+        writer()->queue(log_level::Info, weight, event, toSpan(fields));
     }
 }
 
--- a/src/ragwortpin/runtime/logging.h
+++ b/src/ragwortpin/runtime/logging.h
@@ -49,6 +49,12 @@
 /** Queues one line on an action or a state change of the process. Thread-safe. */
 void logEvent(log_level level, std::string_view event, std::initializer_list<log_field> fields = {});
 
+/**
+ * Queues one line on a message that anybody can send any number of. Only the first few lines of each event in a period are written; the
+ * next one that is written says in the field left_out how many were not. Thread-safe.
+ */
+void logForeign(log_level level, std::string_view event, std::initializer_list<log_field> fields);
+
 /** Queues one line of level Info on a decision about a request. Thread-safe. */
 void logDecision(log_weight weight, std::string_view event, std::initializer_list<log_field> fields);
 
