Take a request on an open route for a call of the target only as late as the event loop can explain

Cause: a call is known by the deadline of its run, and 250 ms were always allowed for the time until the node reads it. With forty runs in six seconds every deadline is that near to one.

Ruled out: source addresses (clients are on the same machine as the target); a missing key (open routes need none).

Change: the time allowed is eight times the measured delay of the event loop, from 10 ms to 250 ms.

--- a/src/ragwortpin/targets/target_gateway.cpp
+++ b/src/ragwortpin/targets/target_gateway.cpp
@@ -16,8 +16,10 @@
  */
 constexpr milliseconds CallDeadlineEarlyTolerance{3};
 constexpr milliseconds CallDeadlineLateTolerance{4};
-/** Longest time from the send of a target's call until the node beside it reads the call. */
-constexpr milliseconds MaxCallReadDelay{250};
+/** Bounds of the time from the send of a target's call until the node beside it reads the call, and its ratio to the loop's delay. */
+constexpr duration MinCallReadDelay{milliseconds{10}};
+constexpr duration MaxCallReadDelay{milliseconds{250}};
+constexpr duration::rep CallReadDelayRatio{8};
 
 bool isOverloadStatus(unsigned status) noexcept
 {
@@ -156,6 +158,7 @@
 
 void target_gateway::observeNodeLoad(const loop_load &load, time_point now)
 {
+    m_callReadDelay = std::clamp(load.delay * CallReadDelayRatio, MinCallReadDelay, MaxCallReadDelay);
     if (!m_admission) {
         return;
     }
@@ -270,7 +273,7 @@
 
 bool target_gateway::mayBeTargetCall(time_point callDeadline) const
 {
-    const auto run = m_activeRuns.lower_bound(callDeadline - MaxCallReadDelay);
+    const auto run = m_activeRuns.lower_bound(callDeadline - m_callReadDelay);
     return run != m_activeRuns.end() && run->first <= callDeadline + CallDeadlineEarlyTolerance;
 }
 
--- a/src/ragwortpin/targets/target_gateway.h
+++ b/src/ragwortpin/targets/target_gateway.h
@@ -122,8 +122,8 @@
     std::optional<unsigned> attributeTargetCall(std::string_view route, time_point callDeadline);
 
     /**
-     * Returns whether a call with the given deadline may be made by a run at the target, whose deadline its calls carry. Less strict than
-     * attributeTargetCall(), so that no call is missed because the node read it late.
+     * Returns whether a call with the given deadline may be made by a run at the target, whose deadline its calls carry. The deadline
+     * appears later the longer the node takes to read the call, which the delay of its event loop tells.
      */
     [[nodiscard]] bool mayBeTargetCall(time_point callDeadline) const;
 
@@ -204,6 +204,8 @@
     call_graph m_graph;
     /** Requests running at the target, by the deadline that was sent to it. */
     std::multimap<time_point, active_run> m_activeRuns;
+    /** Longest time that a call of the target is expected to take until it is read. */
+    duration m_callReadDelay{milliseconds{250}};
     request_id m_lastId{0};
     bool m_draining{false};
     /** Whether the target refused a request with status 421 because it is another incarnation than the announced one. */
--- a/tests/targets/target_gateway_test.cpp
+++ b/tests/targets/target_gateway_test.cpp
@@ -311,3 +311,40 @@
         CHECK(fixture.gateway.requests() == 0);
     }
 }
+
+TEST_CASE("a caller of an open route is not taken for a call of the target because its deadline is merely near that of a run")
+{
+    struct window_case
+    {
+        std::string name;
+        duration loopDelay;
+        int expectedWindowMs;
+    };
+    const std::vector<window_case> cases{
+        {"an idle node reads calls at once", microseconds{100}, 10},
+        {"a busy node reads them later", milliseconds{10}, 80},
+        {"an overloaded node", seconds{1}, 250},
+    };
+    for (const auto &entry : cases) {
+        CAPTURE(entry.name);
+        gateway_fixture fixture{4};
+        fixture.gateway.observeNodeLoad({entry.loopDelay, 0.1}, monotonicNow());
+        const auto running = fixture.startCall(1);
+        REQUIRE(fixture.runUntil([&] {
+            return fixture.heldResponses.size() == 1;
+        }));
+        const auto near = monotonicNow() + TestTimeout;
+        int matching{0};
+        for (int offsetMs{-1000}; offsetMs < 1000; ++offsetMs) {
+            matching += fixture.gateway.mayBeTargetCall(near + milliseconds{offsetMs}) ? 1 : 0;
+        }
+        // The window begins 3 ms before the deadline of the run, since deadlines are rounded.
+        CHECK(matching >= entry.expectedWindowMs);
+        CHECK(matching <= entry.expectedWindowMs + 5);
+        fixture.heldResponses.front()->notifyAll();
+        REQUIRE(fixture.runUntil([&] {
+            return fixture.isAnswered(running);
+        }));
+        CHECK_FALSE(fixture.gateway.mayBeTargetCall(near));
+    }
+}
