Notice that a client disconnects while no further request of it is read

What callers saw: nothing; targets worked on for clients that had left.

Cause: the 33rd request is not read before one is answered, and the end of a connection is seen by reading only.

Ruled out: the cancellation itself, which works for up to 31 requests.

Change: while no further request is read, the connection is asked every 150 ms whether its client has closed it.

--- a/src/ragwortpin/http/server.cpp
+++ b/src/ragwortpin/http/server.cpp
@@ -38,6 +38,9 @@
 /** Time to wait for the client to close the connection after the last response. */
 constexpr seconds LingerTimeout{1};
 
+/** Interval between checks whether a client has disconnected while no further request of it is read. */
+constexpr milliseconds DisconnectCheckInterval{150};
+
 /** Interval between checks for stalled connections. */
 constexpr seconds StallCheckInterval{1};
 
@@ -236,10 +239,13 @@
         m_pending.push_back(item);
         ++m_server.m_requestsInFlight;
         asio::co_spawn(m_server.m_context, serve(shared_from_this(), item, parser.release()), asio::detached);
+        if (m_pending.size() >= MaxPipelinedRequests) {
+            asio::co_spawn(m_server.m_context, watchFullPipeline(shared_from_this()), asio::detached);
+        }
         while (m_pending.size() >= MaxPipelinedRequests && m_socket.is_open()) {
             co_await m_pendingChanged.wait();
         }
-        co_return item->keepAlive &&m_socket.is_open() && !m_closing;
+        co_return item->keepAlive &&m_socket.is_open() && !m_closing && !m_disconnected;
     }
 
     asio::awaitable<void> readRequest(request_parser &parser, boost::system::error_code &error)
@@ -420,6 +426,21 @@
         }
     }
 
+    /** Notices that the client disconnects while no further request is read, since unread bytes hide the end of the connection. */
+    static asio::awaitable<void> watchFullPipeline(std::shared_ptr<session> self)
+    {
+        asio::steady_timer timer{self->m_server.m_context};
+        while (self->m_pending.size() >= MaxPipelinedRequests && self->m_socket.is_open()) {
+            if (isClosedByPeer(self->m_socket)) {
+                self->cancelPending();
+                co_return;
+            }
+            boost::system::error_code ignored;
+            timer.expires_after(DisconnectCheckInterval);
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        }
+    }
+
     static asio::awaitable<void> watchForDisconnect(std::shared_ptr<session> self)
     {
         boost::system::error_code error;
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -199,6 +199,50 @@
     CHECK(served[1]->cancelled());
 }
 
+TEST_CASE("a client that disconnects behind more pipelined requests than are read cancels those that are served")
+{
+    constexpr unsigned Sent{40};
+    constexpr milliseconds Limit{500};
+    boost::asio::io_context context{1};
+    std::vector<std::shared_ptr<call_control>> served;
+    http_server server{context,
+                       {},
+                       [&](http_request, std::shared_ptr<call_control> control) -> boost::asio::awaitable<http_response> {
+                           served.push_back(control);
+                           boost::asio::steady_timer work{context, seconds{2}};
+                           control->onCancel([&work] {
+                               work.cancel();
+                           });
+                           boost::system::error_code ignored;
+                           co_await work.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+                           control->onCancel(nullptr);
+                           co_return makeResponse(http::status::ok, "text/plain", "late");
+                       },
+                       [](refusal_kind) {}};
+    REQUIRE_FALSE(server.listen({"127.0.0.1", 0}));
+    runOn(context, [&]() -> boost::asio::awaitable<void> {
+        {
+            boost::asio::ip::tcp::socket socket{context};
+            const boost::asio::ip::tcp::endpoint address{boost::asio::ip::make_address("127.0.0.1"), server.port()};
+            co_await socket.async_connect(address, boost::asio::use_awaitable);
+            std::string requests;
+            for (unsigned index{0}; index < Sent; ++index) {
+                requests += "GET /work HTTP/1.1\r\nHost: a\r\n\r\n";
+            }
+            co_await boost::asio::async_write(socket, boost::asio::buffer(requests), boost::asio::use_awaitable);
+            boost::asio::steady_timer pause{context, milliseconds{100}};
+            co_await pause.async_wait(boost::asio::use_awaitable);
+        }
+        boost::asio::steady_timer pause{context, Limit};
+        co_await pause.async_wait(boost::asio::use_awaitable);
+        CHECK(server.requestsInFlight() == 0);
+    });
+    CHECK(served.size() < Sent);
+    for (const auto &control : served) {
+        CHECK(control->cancelled());
+    }
+}
+
 namespace {
 
 /** Bytes that a client sends before it disconnects, and how. */
