Follow the calls behind requests depth by depth when first hops are planned

What callers saw: nothing yet.

Cause: calls were followed along each path, of which there are five to the power of eight for each route.

Ruled out: the number of routes or profiles, which stays small.

Change: calls of the same route at the same depth are taken together. Sums are the same but for rounding.

--- a/src/ragwortpin/overload/plan.cpp
+++ b/src/ragwortpin/overload/plan.cpp
@@ -80,28 +80,59 @@
     }
 
     /** Adds the slot time that requests of a route and the calls behind them use at each service. */
-    void add(service_costs &costs, const route &definition, double requests, unsigned depth) const
+    void add(service_costs &costs, const route &definition, double requests) const
     {
-        for (const auto &part : trafficSplitOf(definition)) {
-            addAtService(costs, part.service, definition, requests * part.weight, depth);
-        }
+        forEachHop(definition, requests, [this, &costs](const std::string &service, const route &here, double arrivals) {
+            const auto found = m_profiles.find({service, routeId(here.name)});
+            if (found != m_profiles.end()) {
+                costs[service] += arrivals * found->second.slotTime;
+            }
+        });
     }
 
     /** Adds the requests of a route and the calls behind them. A route without a profile is counted without calls. */
-    void countArrivals(service_arrivals &arrivals, const route &definition, double requests, unsigned depth) const
+    void countArrivals(service_arrivals &arrivals, const route &definition, double requests) const
+    {
+        forEachHop(definition, requests, [&arrivals](const std::string &service, const route &, double here) {
+            arrivals[service] += here;
+        });
+    }
+
+private:
+    /** Requests of one route that arrive at one depth of the calls. */
+    struct route_arrivals
     {
-        for (const auto &part : trafficSplitOf(definition)) {
-            const double here{requests * part.weight};
-            arrivals[part.service] += here;
-            for (const auto &item : callsOf(part.service, definition, depth)) {
-                if (const auto *called = findRoute(item.route)) {
-                    countArrivals(arrivals, called->definition, here * item.calls, depth + 1);
+        const route *definition{nullptr};
+        double requests{0.0};
+    };
+
+    /**
+     * Calls visit(service, route, requests) for the requests of a route and the calls behind them, depth by depth. Calls of the same route
+     * at the same depth are taken together, so that the work grows with the routes and not with the paths, which are very many where calls
+     * go in a circle.
+     */
+    template<typename Visitor>
+    void forEachHop(const route &definition, double requests, const Visitor &visit) const
+    {
+        std::map<std::uint32_t, route_arrivals> level{{routeId(definition.name), {&definition, requests}}};
+        for (unsigned depth{0}; !level.empty(); ++depth) {
+            std::map<std::uint32_t, route_arrivals> next;
+            for (const auto &[id, arriving] : level) {
+                for (const auto &part : trafficSplitOf(*arriving.definition)) {
+                    const double here{arriving.requests * part.weight};
+                    visit(part.service, *arriving.definition, here);
+                    for (const auto &item : callsOf(part.service, *arriving.definition, depth)) {
+                        if (const auto *called = findRoute(item.route)) {
+                            auto &added = next[item.route];
+                            added = {&called->definition, added.requests + here * item.calls};
+                        }
+                    }
                 }
             }
+            level = std::move(next);
         }
     }
 
-private:
     /** Merges the profiles of several instances, weighted by the number of runs that each is based on. */
     static void merge(route_profile &into, const route_profile &from)
     {
@@ -133,20 +164,6 @@
         return found == m_profiles.end() || depth == MaxCallDepth ? std::span<const calls_per_run>{} : found->second.calls;
     }
 
-    void addAtService(service_costs &costs, const std::string &service, const route &definition, double requests, unsigned depth) const
-    {
-        const auto found = m_profiles.find({service, routeId(definition.name)});
-        if (found == m_profiles.end()) {
-            return;
-        }
-        costs[service] += requests * found->second.slotTime;
-        for (const auto &item : callsOf(service, definition, depth)) {
-            if (const auto *called = findRoute(item.route)) {
-                add(costs, called->definition, requests * item.calls, depth + 1);
-            }
-        }
-    }
-
     std::unordered_map<std::uint32_t, const indexed_route *> m_routes;
     std::map<std::pair<std::string, std::uint32_t>, route_profile> m_profiles;
 };
@@ -191,7 +208,7 @@
             continue;
         }
         costed_demand demand{key, definition->rank, requestsPerSecond, {}};
-        table.add(demand.costs, definition->definition, 1.0, 0);
+        table.add(demand.costs, definition->definition, 1.0);
         removeNegligible(demand.costs);
         demands.push_back(std::move(demand));
     }
@@ -280,14 +297,14 @@
 service_costs costOf(const configuration_index &index, const fleet_load &picture, const route &definition)
 {
     service_costs costs;
-    cost_table{index, picture}.add(costs, definition, 1.0, 0);
+    cost_table{index, picture}.add(costs, definition, 1.0);
     return costs;
 }
 
 service_arrivals arrivalsOf(const configuration_index &index, const fleet_load &picture, const route &definition)
 {
     service_arrivals arrivals;
-    cost_table{index, picture}.countArrivals(arrivals, definition, 1.0, 0);
+    cost_table{index, picture}.countArrivals(arrivals, definition, 1.0);
     return arrivals;
 }
 
--- a/tests/overload/plan_test.cpp
+++ b/tests/overload/plan_test.cpp
@@ -284,3 +284,34 @@
     CHECK(maxDelay <= 0.3);
     CHECK(nodes.processed - processedBefore >= 0.8 * NodeRequestsPerSecond * settledSeconds);
 }
+
+TEST_CASE("the plan is updated quickly where the calls of many routes go in a circle")
+{
+    constexpr unsigned Routes{12};
+    constexpr unsigned CallsPerRoute{5};
+    constexpr milliseconds Limit{100};
+    configuration value;
+    value.importances = {{"p0", 0}};
+    value.services = {{"ring"}};
+    fleet_load picture;
+    picture.services = {{"ring", {40.0, 40.0, 30.0}}};
+    const auto nameOf = [](unsigned index) {
+        return "route-" + std::to_string(index % Routes);
+    };
+    for (unsigned index{0}; index < Routes; ++index) {
+        value.routes.push_back({.name = nameOf(index), .method = "", .path = '/' + nameOf(index), .service = "ring", .importance = "p0"});
+        route_profile profile{.route = routeId(nameOf(index)), .runs = 100.0, .slotTime = 0.01, .calls = {}};
+        for (unsigned call{1}; call <= CallsPerRoute; ++call) {
+            profile.calls.push_back({routeId(nameOf(index + call)), 0.1});
+        }
+        picture.profiles.push_back({"ring", profile});
+        picture.demands.push_back({routeId(nameOf(index)), 0, 10.0});
+    }
+    const auto index = buildIndex(value);
+    plan_state state;
+    const auto started = monotonicNow();
+    updatePlan(state, *index, picture);
+    CHECK(monotonicNow() - started < Limit);
+    // Half a call for each run, eight deep: the slot times form a geometric series.
+    CHECK(costOf(*index, picture, index->value.routes.front()).at("ring") == Approx(0.01 * (1.0 - std::pow(0.5, 9)) / 0.5));
+}
