Let a stored departure count for 30 s after a restart only

Cause: the stored entry had no limit in time.

Ruled out: dropping the entry at the first heartbeat (that is the delayed one it is there for).

Change: an entry counts for 30 s after it was read. Delayed heartbeats arrive within seconds; a target that announces itself later is there.

The test (a stored departure does not keep out a target that goes on announcing itself) fails without the limit, by its second assertion.

--- a/src/ragwortpin/node/data_plane.cpp
+++ b/src/ragwortpin/node/data_plane.cpp
@@ -420,12 +420,12 @@
 /** Applies the departure that was stored before this process started, and the announcement that waited for it. */
 void data_plane::restore(const std::optional<departure_record> &record)
 {
-    const auto deferred = restoreDeparture(m_announcementHistory, record);
+    const auto deferred = restoreDeparture(m_announcementHistory, record, monotonicNow());
     if (record) {
         logEvent(
             log_level::Info, "departure_restored", {{"incarnation", record->incarnation}, {"ended", record->hasEnded ? "true" : "false"}});
     }
-    if (isLatestDeparted(m_announcementHistory)) {
+    if (isLatestDeparted(m_announcementHistory, monotonicNow())) {
         startDraining("restored");
     }
     if (deferred) {
--- a/src/ragwortpin/targets/announcement.cpp
+++ b/src/ragwortpin/targets/announcement.cpp
@@ -39,10 +39,11 @@
 }
 
 /** Returns whether the restored departure says that the start of an announcement had left when the announcement was sent. */
-bool isBeforeRestored(const announcement_history &history, const target_announcement &announcement)
+bool isBeforeRestored(const announcement_history &history, const target_announcement &announcement, time_point now)
 {
     const auto &restored = history.restored;
-    if (!restored || announcement.incarnation != restored->incarnation || announcement.startedAt > restored->startedAt) {
+    if (!restored || now - history.restoredAt >= RestoredPeriod || announcement.incarnation != restored->incarnation
+        || announcement.startedAt > restored->startedAt) {
         return false;
     }
     return restored->hasEnded
@@ -114,7 +115,7 @@
 
 announcement_verdict recordAnnouncement(announcement_history &history, const target_announcement &announcement, time_point now)
 {
-    if (hasDeparted(history, announcement) || isRefuted(history, announcement, now) || isBeforeRestored(history, announcement)) {
+    if (hasDeparted(history, announcement) || isRefuted(history, announcement, now) || isBeforeRestored(history, announcement, now)) {
         return announcement_verdict::Stale;
     }
     if (!history.latest) {
@@ -156,16 +157,18 @@
     return true;
 }
 
-std::optional<target_announcement> restoreDeparture(announcement_history &history, const std::optional<departure_record> &record)
+std::optional<target_announcement>
+restoreDeparture(announcement_history &history, const std::optional<departure_record> &record, time_point now)
 {
+    history.restoredAt = now;
     history.awaitsRestore = false;
     history.restored = record;
     return std::exchange(history.deferred, std::nullopt);
 }
 
-bool isLatestDeparted(const announcement_history &history)
+bool isLatestDeparted(const announcement_history &history, time_point now)
 {
-    return history.latest && isBeforeRestored(history, *history.latest);
+    return history.latest && isBeforeRestored(history, *history.latest, now);
 }
 
 bool refuteIncarnation(announcement_history &history, const std::string &incarnation, time_point now)
--- a/src/ragwortpin/targets/announcement.h
+++ b/src/ragwortpin/targets/announcement.h
@@ -104,6 +104,7 @@
     std::vector<refuted_start> refuted;
     /** Departure that was recorded before this process started. */
     std::optional<departure_record> restored;
+    time_point restoredAt{};
     /** Whether it is still unknown what was recorded before this process started. */
     bool awaitsRestore{false};
     /** Announcement that waits until that is known. */
@@ -124,6 +125,8 @@
 
 /** Time without a current announcement after which a rival that goes on announcing itself takes over. Several heartbeat intervals. */
 inline constexpr seconds AnnouncementSilence{6};
+/** Time for which a restored departure counts. A target that still announces itself then is there, whatever was recorded. */
+inline constexpr seconds RestoredPeriod{30};
 /** Time for which announcements of a refuted start are ignored. */
 inline constexpr seconds RefutationPeriod{10};
 
@@ -149,11 +152,11 @@
  * Adds the departure that was recorded before this process started, if there was one. Returns the deferred announcement, which has to be
  * recorded again.
  */
-[[nodiscard]] std::optional<target_announcement> restoreDeparture(announcement_history &history,
-                                                                  const std::optional<departure_record> &record);
+[[nodiscard]] std::optional<target_announcement>
+restoreDeparture(announcement_history &history, const std::optional<departure_record> &record, time_point now);
 
 /** Returns whether the start that sent the latest announcement has left according to the restored departure. */
-[[nodiscard]] bool isLatestDeparted(const announcement_history &history);
+[[nodiscard]] bool isLatestDeparted(const announcement_history &history, time_point now);
 
 /**
  * Records that the target refused a request since it is not the given incarnation. If the latest announcement is of this incarnation, it is
--- a/tests/targets/announcement_test.cpp
+++ b/tests/targets/announcement_test.cpp
@@ -249,7 +249,7 @@
             continue;
         }
         CHECK(recordAnnouncement(history, entry.announcement, time_point{}) == announcement_verdict::Deferred);
-        const auto deferred = restoreDeparture(history, entry.stored);
+        const auto deferred = restoreDeparture(history, entry.stored, time_point{});
         REQUIRE(deferred == entry.announcement);
         CHECK(recordAnnouncement(history, *deferred, time_point{}) == entry.verdict);
     }
@@ -267,7 +267,19 @@
         history.awaitsRestore = true;
         REQUIRE(recordAnnouncement(history, makeAnnouncement("b", 200, 5), time_point{}) == announcement_verdict::Deferred);
         CHECK(recordAnnouncement(history, announcement, time_point{}) == verdict);
-        static_cast<void>(restoreDeparture(history, departure_record{"b", 200, 9, true}));
-        CHECK(isLatestDeparted(history) == (verdict == announcement_verdict::Accepted));
+        static_cast<void>(restoreDeparture(history, departure_record{"b", 200, 9, true}, time_point{}));
+        CHECK(isLatestDeparted(history, time_point{}) == (verdict == announcement_verdict::Accepted));
+    }
+}
+
+TEST_CASE("a stored departure does not keep out a target that goes on announcing itself")
+{
+    for (const bool hasEnded : {true, false}) {
+        CAPTURE(hasEnded);
+        announcement_history history;
+        static_cast<void>(restoreDeparture(history, departure_record{"b", 200, 1'000'000, hasEnded}, time_point{}));
+        const auto announced = makeAnnouncement("b", 200, 7);
+        CHECK(recordAnnouncement(history, announced, time_point{RestoredPeriod} - milliseconds{1}) == announcement_verdict::Stale);
+        CHECK(recordAnnouncement(history, announced, time_point{RestoredPeriod}) == announcement_verdict::Accepted);
     }
 }
