Watch a connection with a full pipeline once, and begin the progress of a response without a body anew

What callers saw: nothing.

Cause: the watch had no record that it runs; the progress was begun where a body is written.

Ruled out: a watch that is never ended, as each ends once the pipeline has room.

Change: one watch a connection; the progress begins with each response.

--- a/src/ragwortpin/http/server.cpp
+++ b/src/ragwortpin/http/server.cpp
@@ -239,7 +239,7 @@
         m_pending.push_back(item);
         ++m_server.m_requestsInFlight;
         asio::co_spawn(m_server.m_context, serve(shared_from_this(), item, parser.release()), asio::detached);
-        if (m_pending.size() >= MaxPipelinedRequests) {
+        if (m_pending.size() >= MaxPipelinedRequests && !std::exchange(m_isPipelineWatched, true)) {
             asio::co_spawn(m_server.m_context, watchFullPipeline(shared_from_this()), asio::detached);
         }
         while (m_pending.size() >= MaxPipelinedRequests && m_socket.is_open()) {
@@ -391,6 +391,7 @@
         response.keep_alive(item.keepAlive && !(m_server.m_draining && isLastPending));
         m_closing = !response.keep_alive();
         extendStallDeadline();
+        m_sent = {monotonicNow(), 0};
         boost::system::error_code error;
         if (item.isHead) {
             http::response<http::empty_body> headOnly{std::move(response.base())};
@@ -408,7 +409,6 @@
 
     asio::awaitable<void> write(http_response &response, boost::system::error_code &error)
     {
-        m_sent = {monotonicNow(), 0};
         http::response_serializer<message_body> serializer{response};
         while (!error && !serializer.is_done()) {
             m_sent.bytes += co_await http::async_write_some(m_socket, serializer, asio::redirect_error(asio::use_awaitable, error));
@@ -433,12 +433,13 @@
         while (self->m_pending.size() >= MaxPipelinedRequests && self->m_socket.is_open()) {
             if (isClosedByPeer(self->m_socket)) {
                 self->cancelPending();
-                co_return;
+                break;
             }
             boost::system::error_code ignored;
             timer.expires_after(DisconnectCheckInterval);
             co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         }
+        self->m_isPipelineWatched = false;
     }
 
     static asio::awaitable<void> watchForDisconnect(std::shared_ptr<session> self)
@@ -484,6 +485,8 @@
     bool m_writing{false};
     /** Whether the header of the next request was read and its body was not yet. */
     bool m_isReadingBody{false};
+    /** Whether watchFullPipeline() runs. */
+    bool m_isPipelineWatched{false};
     /** Whether the body that is being read was given up because it came too slowly. */
     bool m_isEvicted{false};
     /** Whether a request was refused before its body was read. */
