Leave the allocator's threshold for mapped allocations as it is

Cause: suspected only. fixed the size from which allocations are mapped, which also fixes the size from which the heap is trimmed at 128 KiB, so that it is trimmed and grown again often; and allocations of 128 KiB to 1 MiB moved into the heap.

Change: the call is gone. It was not needed for the bound: eight uploads of 60 MB at once use 135 MiB at most with it and 135 MiB without it.

--- a/src/ragwortpin/node/daemon.cpp
+++ b/src/ragwortpin/node/daemon.cpp
@@ -4,7 +4,6 @@
 #include "ragwortpin/runtime/logging.h"
 
 #include <getopt.h>
-#include <malloc.h>
 #include <pthread.h>
 
 #include <array>
@@ -24,9 +23,6 @@
 constexpr int ExitFailure{1};
 constexpr int ExitUsage{2};
 
-/** Allocations from this size on are returned to the system when they are freed. Large bodies would otherwise fragment the heap. */
-constexpr int MappedAllocationBytes{1024 * 1024};
-
 constexpr const char *Usage{R"( --settings FILE [--check]
 
 Runs one node beside a target until SIGTERM or SIGINT, then shuts down gracefully.
@@ -259,7 +255,6 @@
         std::cout << commandLine->settingsFile << ": no problems\n";
         return ExitSuccess;
     }
-    mallopt(M_MMAP_THRESHOLD, MappedAllocationBytes);
     return run(commandLine->settingsFile, std::move(*loaded), extension);
 }
 
