--- a/src/ragwortpin/node/data_plane.cpp
+++ b/src/ragwortpin/node/data_plane.cpp
@@ -88,13 +88,13 @@
                        data_plane_services services)
     : fromControl{m_context,
                   ControlMailboxCapacity,
-                  [this](control_event event) {
-                      handle(std::move(event));
+                  [this](const control_event &event) {
+                      handle(event);
                   }}
     , fromOperators{m_context,
                     OperatorMailboxCapacity,
-                    [this](operator_event event) {
-                        handle(std::move(event));
+                    [this](const operator_event &event) {
+                        handle(event);
                     }}
     , fromStore{m_context,
                 StoreMailboxCapacity,
@@ -103,7 +103,7 @@
                 }}
     , fromClaims{m_context,
                  StoreMailboxCapacity,
-                 [this](claim_reply reply) {
+                 [this](claim_reply &&reply) {
                      m_once.receive(std::move(reply));
                  }}
     , m_settings{settings}
@@ -262,7 +262,7 @@
     m_context.stop();
 }
 
-void data_plane::handle(control_event event)
+void data_plane::handle(const control_event &event)
 {
     const auto now = monotonicNow();
     if (const auto *configured = std::get_if<configuration_event>(&event)) {
@@ -290,7 +290,7 @@
     }
 }
 
-void data_plane::handle(operator_event event)
+void data_plane::handle(const operator_event &event)
 {
     if (const auto *assignment = std::get_if<target_assignment>(&event)) {
         handleAssignment(*assignment);
--- a/src/ragwortpin/node/data_plane.h
+++ b/src/ragwortpin/node/data_plane.h
@@ -94,8 +94,8 @@
     }
 
 private:
-    void handle(control_event event);
-    void handle(operator_event event);
+    void handle(const control_event &event);
+    void handle(const operator_event &event);
     [[nodiscard]] abandon_observer observeAbandoned(std::string listener, metrics_registry &metrics) const;
     [[nodiscard]] repeat_budget makeFleetRepeatBudget();
     void receiveLoan(const loan_event &loan);
--- a/src/ragwortpin/node/node.cpp
+++ b/src/ragwortpin/node/node.cpp
@@ -55,7 +55,7 @@
         , m_extensions{std::move(extensions)}
         , m_spans{m_telemetryContext,
                   SpanCapacity,
-                  [this](span value) {
+                  [this](span &&value) {
                       if (m_exporter) {
                           m_exporter->add(std::move(value));
                       }
@@ -180,7 +180,7 @@
                 }
             };
         }
-        services.claims = [this](claim_command command) {
+        services.claims = [this](claim_command &&command) {
             return m_claims.fromData.trySend(std::move(command));
         };
         services.spans = [this](span value) {
@@ -489,7 +489,8 @@
      * Sends an event to the data thread. If the mailbox is full, the event is dropped and counted: the next membership snapshot
      * or loan message repeats it, and a configuration is retried.
      */
-    void sendToData(control_event event)
+    template<typename Event>
+    void sendToData(Event event)
     {
         if (!m_data.fromControl.trySend(std::move(event))) {
             m_metrics.counterFor("ragwortpin_control_events_dropped_total").add();
--- a/src/ragwortpin/node/once_gateway.h
+++ b/src/ragwortpin/node/once_gateway.h
@@ -19,7 +19,7 @@
 namespace ragwortpin {
 
 /** Sends a command to the claims thread. Returns false if its mailbox is full. */
-using claim_sender = std::function<bool(claim_command)>;
+using claim_sender = std::function<bool(claim_command &&)>;
 
 /**
  * Runs calls of at-most-once routes: claims the Idempotency-Key in the platform's store, dispatches the call only while holding
--- a/src/ragwortpin/node/store_duty.cpp
+++ b/src/ragwortpin/node/store_duty.cpp
@@ -52,7 +52,7 @@
     , m_failures{metrics.counterFor("ragwortpin_store_call_failures_total")}
     , fromControl{m_context,
                   HeadReadCapacity,
-                  [this](read_head_request event) {
+                  [this](const read_head_request &event) {
                       const auto askedAt = monotonicNow();
                       head_reply reply;
                       const bool isRead{runGuarded("head reader", [&] {
--- a/src/ragwortpin/peers/control_loop.cpp
+++ b/src/ragwortpin/peers/control_loop.cpp
@@ -96,18 +96,11 @@
     m_channel.close();
 }
 
-bool control_loop::post(command value)
+void control_loop::postDrain()
 {
-    {
-        const std::lock_guard lock{m_producerMutex};
-        if (!m_commands.tryPush(std::move(value))) {
-            return false;
-        }
-    }
     asio::post(m_context, [this] {
         drainCommands();
     });
-    return true;
 }
 
 void control_loop::setZoneFilter(std::function<bool(const std::string &)> filter)
@@ -233,7 +226,7 @@
     }
 }
 
-void control_loop::execute(command value)
+void control_loop::execute(command &&value)
 {
     const auto now = monotonicNow();
     if (auto *change = std::get_if<own_record_command>(&value)) {
--- a/src/ragwortpin/peers/control_loop.h
+++ b/src/ragwortpin/peers/control_loop.h
@@ -71,7 +71,18 @@
 
     std::error_code start();
     void stop();
-    bool post(command value);
+    template<typename Command>
+    bool post(Command &&value)
+    {
+        {
+            const std::lock_guard lock{m_producerMutex};
+            if (!m_commands.tryPush(std::forward<Command>(value))) {
+                return false;
+            }
+        }
+        postDrain();
+        return true;
+    }
     void setZoneFilter(std::function<bool(const std::string &)> filter);
     configuration_answer getConfiguration(std::uint64_t baseRevision) const;
     status_answer getStatus() const;
@@ -101,8 +112,9 @@
     void tick(time_point now);
     void publishView(time_point now);
     void publishCounters();
+    void postDrain();
     void drainCommands();
-    void execute(command value);
+    void execute(command &&value);
     void receive(datagram &&received, const peer_address &from);
     void receiveMembership(const datagram &received, const peer_address &from);
     void receiveSpread(const datagram &received, const peer_address &from);
--- a/src/ragwortpin/runtime/bounded_ring.h
+++ b/src/ragwortpin/runtime/bounded_ring.h
@@ -6,13 +6,32 @@
 #include <boost/lockfree/spsc_queue.hpp>
 
 #include <atomic>
+#include <concepts>
 #include <cstddef>
 #include <cstdint>
+#include <iterator>
+#include <memory>
 #include <optional>
+#include <type_traits>
 #include <utility>
 
 namespace ragwortpin {
 
+namespace internal {
+
+/** Returns an iterator to the argument that yields it as it was passed: an lvalue as const, an rvalue to be moved from. */
+template<typename Argument>
+[[nodiscard]] constexpr auto forwardingIterator(std::remove_reference_t<Argument> &argument) noexcept
+{
+    if constexpr (std::is_lvalue_reference_v<Argument>) {
+        return std::addressof(std::as_const(argument));
+    } else {
+        return std::make_move_iterator(std::addressof(argument));
+    }
+}
+
+} // namespace internal
+
 /**
  * Lock-free queue of fixed capacity between exactly one producer thread and one consumer thread. A full ring rejects further
  * values and counts the rejections; the producer decides how to handle a rejected value.
@@ -25,10 +44,15 @@
         : m_queue{capacity}
     { }
 
-    /** Appends a value. If the ring is full, counts a rejection and returns false. Producer thread only. */
-    [[nodiscard]] bool tryPush(Value value)
+    /**
+     * Constructs a value from the argument at the end of the ring. If the ring is full, counts a rejection, leaves the argument as it
+     * is and returns false. Producer thread only. A variant is best given by its alternative: it is then neither copied nor moved.
+     */
+    template<typename Argument = Value>
+    requires std::constructible_from<Value, Argument &&>
+    [[nodiscard]] bool tryPush(Argument &&argument)
     {
-        if (m_queue.push(std::move(value))) {
+        if (pushFrom(internal::forwardingIterator<Argument>(argument))) {
             return true;
         }
         m_rejected.fetch_add(1, std::memory_order_relaxed);
@@ -52,6 +76,12 @@
     }
 
 private:
+    template<typename Iterator>
+    bool pushFrom(Iterator first)
+    {
+        return m_queue.push(first, std::next(first)) != first;
+    }
+
     boost::lockfree::spsc_queue<Value> m_queue;
     std::atomic<std::uint64_t> m_rejected{0};
 };
--- a/src/ragwortpin/runtime/mailbox.h
+++ b/src/ragwortpin/runtime/mailbox.h
@@ -8,6 +8,7 @@
 #include <boost/asio/post.hpp>
 
 #include <atomic>
+#include <concepts>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -18,13 +19,15 @@
 /**
  * Bounded queue from one producer thread to the thread that runs an io_context. Sending wakes the consumer through at most one
  * outstanding post, regardless of the number of queued values. Values that are queued when the io_context is stopped are not delivered.
- * The mailbox must outlive run() of the io_context.
+ * The mailbox must outlive run() of the io_context. Values are constructed in the queue
+ * and handed on by reference: GCC 12 reports the alternatives that a variant does not hold as maybe uninitialised when the variant is moved
+ * through inlined calls, on some processors and at some optimisation levels.
  */
 template<typename Value>
 class mailbox
 {
 public:
-    using receiver = std::function<void(Value)>;
+    using receiver = std::function<void(Value &&)>;
 
     mailbox(boost::asio::io_context &consumer, std::size_t capacity, receiver function)
         : m_consumer{consumer}
@@ -32,10 +35,15 @@
         , m_receiver{std::move(function)}
     { }
 
-    /** Queues a value for the consumer. If the queue is full, counts a rejection and returns false. Producer thread only. */
-    [[nodiscard]] bool trySend(Value value)
+    /**
+     * Constructs a value from the argument in the queue, for a variant from one of its alternatives. If the queue is full, counts a
+     * rejection, leaves the argument as it is and returns false. Producer thread only.
+     */
+    template<typename Argument = Value>
+    requires std::constructible_from<Value, Argument &&>
+    [[nodiscard]] bool trySend(Argument &&argument)
     {
-        if (!m_ring.tryPush(std::move(value))) {
+        if (!m_ring.tryPush(std::forward<Argument>(argument))) {
             return false;
         }
         if (!m_isDrainPosted.exchange(true)) {
