--- a/src/ragwortpin/config/check.cpp
+++ b/src/ragwortpin/config/check.cpp
@@ -44,7 +44,10 @@
 std::string quoteTruncated(std::string_view text)
 {
     constexpr std::size_t MaxQuotedLength{80};
-    return "'" + std::string{text.substr(0, MaxQuotedLength)} + (text.size() > MaxQuotedLength ? "...'" : "'");
+    std::string quoted{"'"};
+    quoted += text.substr(0, MaxQuotedLength);
+    quoted += text.size() > MaxQuotedLength ? "...'" : "'";
+    return quoted;
 }
 
 std::string formatCheckedNumber(double value)
