--- a/src/ragwortpin/node/fleet_driver.cpp
+++ b/src/ragwortpin/node/fleet_driver.cpp
@@ -20,9 +20,6 @@
 constexpr std::size_t MaxProfiles{12};
 constexpr std::size_t MaxDemands{24};
 
-/** Headroom requests that are sent to peers for one request before it is refused. */
-constexpr unsigned MaxHeadroomRequests{3};
-
 /** Returns the profiles with the most runs, as many as a digest has at most. */
 std::vector<route_profile> mostUsedProfiles(const call_graph &graph)
 {
@@ -92,7 +89,7 @@
             names.push_back(record.name);
         }
     }
-    setMembers(m_rates, names, monotonicNow());
+    setMembers(m_rates, m_digests.instance, names, monotonicNow());
 }
 
 void fleet_driver::receive(std::string_view sender, std::string_view payload)
--- a/src/ragwortpin/rates/headroom_loan.h
+++ b/src/ragwortpin/rates/headroom_loan.h
@@ -12,6 +12,9 @@
 
 namespace ragwortpin {
 
+/** Number of peers that a node asks for headroom for one request before it refuses it. */
+inline constexpr unsigned MaxHeadroomRequests{5};
+
 /**
  * Request to a peer for headroom in a workspace's bucket, or the answer to such a request. Headroom is the number of requests that a
  * node may admit before its peers have a report of them.
--- a/src/ragwortpin/rates/shared_rates.cpp
+++ b/src/ragwortpin/rates/shared_rates.cpp
@@ -21,6 +21,12 @@
 /** Demand up to which a workspace is omitted from reports, in requests per second. */
 constexpr double MinReportedDemand{0.01};
 
+/**
+ * Demand in requests per second, of all nodes together, that is added in equal parts when the nodes' fractions of the demand are
+ * computed. It makes the fractions of an idle workspace equal, and hardly changes those of one in use.
+ */
+constexpr double EvenDemand{0.1};
+
 /** Relative change of the demand from which on it is reported at once. */
 constexpr double MaxDemandError{0.25};
 
@@ -135,14 +141,14 @@
     return std::max(demand / std::max(MinDemand, fleetDemand), 1.0 / nodes);
 }
 
-/** Averages this node's fraction of the demand over the time constant. A new bucket starts with an equal part. */
-[[nodiscard]] double
-smoothedShare(const shared_bucket &bucket, double ownDemand, double elapsed, double equalShare, duration timeConstant) noexcept
+/**
+ * Returns this node's fraction of the demand, such that the fractions of all nodes add up to 1. Demand that a node would not report is
+ * none here either: if each node counted its own, each would see itself as the only node that has any.
+ */
+[[nodiscard]] double demandFraction(double ownDemand, const peer_demand &others, double equalShare) noexcept
 {
-    const double gain{1.0 - std::exp(-elapsed / toSeconds(timeConstant))};
-    const double sample{ownDemand / bucket.fleetDemand};
-    const double before{bucket.demandShare > 0.0 ? bucket.demandShare : equalShare};
-    return before + gain * (sample - before);
+    const double reported{ownDemand > MinReportedDemand ? ownDemand : 0.0};
+    return (reported + EvenDemand * equalShare) / (reported + others.live + others.stale + EvenDemand);
 }
 
 /** Removes the intervals that every peer has a report of by now, and starts the next interval. */
@@ -156,16 +162,31 @@
 }
 
 /**
- * Returns the limit of the requests that this node may have admitted without its peers having a report of them. The limits of all
- * nodes add up to the tokens left when the oldest interval began and the tokens refilled since, also during a network partition.
+ * Returns the limit of the requests that this node may have admitted without its peers having a report of them, a whole number. The
+ * limits of all nodes add up to the tokens left when the oldest interval began and the tokens refilled since, also during a network
+ * partition. Since each node rounds at another fraction, some round up and as many down.
  */
-[[nodiscard]] double unreportedLimit(const shared_bucket &bucket, double equalShare) noexcept
+[[nodiscard]] double unreportedLimit(const shared_bucket &bucket, double equalShare, double roundingOffset) noexcept
 {
     const auto &oldest = bucket.unreportedIntervals.front();
     const double refilled{bucket.rate * toSeconds(bucket.updatedAt - oldest.startedAt)};
     const double part{0.5 * (bucket.demandShare + equalShare)};
     const double limit{part * (oldest.initialLevel + refilled)};
-    return std::max(1.0, limit);
+    return std::max(1.0, std::floor(limit + roundingOffset));
+}
+
+/**
+ * Returns the fraction at which this node rounds. The fractions of a fleet are spread evenly over [0, 1), in any part of it that is
+ * consecutive by name too, which nodes of one zone often are.
+ */
+[[nodiscard]] double roundingOffset(std::string_view ownName, const std::vector<std::string> &names)
+{
+    constexpr double GoldenRatio{0.6180339887498949};
+    const auto position = std::count_if(names.begin(), names.end(), [ownName](const std::string &name) {
+        return name < ownName;
+    });
+    const double offset{GoldenRatio * static_cast<double>(position)};
+    return offset - std::floor(offset);
 }
 
 /** Interval between the last two ticks. */
@@ -175,8 +196,23 @@
     double elapsed{0.0};
     /** Known nodes, including this one and stale peers. */
     double nodes{1.0};
+    /** Known nodes at the tick before. */
+    double nodesBefore{1.0};
+    /** See shared_rates::roundingOffset. */
+    double roundingOffset{0.0};
 };
 
+/**
+ * Averages this node's fraction of the demand over the time constant. A new bucket starts with an equal part. Nodes that join take their
+ * parts from all others, so that the parts of a node that has just learned of its peers are not those of a node without any.
+ */
+[[nodiscard]] double smoothedShare(double before, double sample, const tick_interval &last, duration timeConstant) noexcept
+{
+    const double gain{1.0 - std::exp(-last.elapsed / toSeconds(timeConstant))};
+    const double scaled{before > 0.0 ? before * std::min(1.0, last.nodesBefore / last.nodes) : 1.0 / last.nodes};
+    return scaled + gain * (sample - scaled);
+}
+
 void updateBucket(
     shared_bucket &bucket, const peer_demand &others, const tick_interval &last, const shared_rate_options &options, time_point now)
 {
@@ -194,9 +230,10 @@
     const double carried{bucket.level > 0.0 ? std::min(1.0, bucket.allowance) : 0.0};
     bucket.allowance = part < 1.0 ? std::min(1.0, carried + part) : part;
     const double equalShare{1.0 / last.nodes};
-    bucket.demandShare = smoothedShare(bucket, ownDemand, last.elapsed, equalShare, options.shareTimeConstant);
+    bucket.demandShare
+        = smoothedShare(bucket.demandShare, demandFraction(bucket.demand, others, equalShare), last, options.shareTimeConstant);
     startUnreportedInterval(bucket, now, options.unreportedWindow);
-    bucket.unreportedLimit = unreportedLimit(bucket, equalShare);
+    bucket.unreportedLimit = unreportedLimit(bucket, equalShare, last.roundingOffset);
     const double extra{std::max(1.0, (isBelowRate ? options.extraFactor : options.extraFactorAtLimit) * bucket.level / last.nodes)};
     bucket.extraAllowance = isSurging(bucket, options) ? 0.0 : extra;
 }
@@ -349,8 +386,9 @@
     });
 }
 
-void setMembers(shared_rates &state, const std::vector<std::string> &names, time_point now)
+void setMembers(shared_rates &state, std::string_view ownName, const std::vector<std::string> &names, time_point now)
 {
+    state.roundingOffset = internal::roundingOffset(ownName, names);
     for (auto &[name, peer] : state.peers) {
         peer.isMember = false;
     }
@@ -393,8 +431,10 @@
     std::erase_if(state.peers, [&](const auto &entry) {
         return !entry.second.isMember && now - entry.second.lastReportAt > state.options.peerExpiry;
     });
-    const internal::tick_interval last{toSeconds(now - state.lastTick), static_cast<double>(state.peers.size() + 1)};
+    const internal::tick_interval last{
+        toSeconds(now - state.lastTick), static_cast<double>(state.peers.size() + 1), state.nodes, state.roundingOffset};
     state.lastTick = now;
+    state.nodes = last.nodes;
     internal::updateStalePeers(state, now);
     for (auto &[workspace, bucket] : state.buckets) {
         internal::updateBucket(bucket, internal::demandOfPeers(state, workspace), last, state.options, now);
--- a/src/ragwortpin/rates/shared_rates.h
+++ b/src/ragwortpin/rates/shared_rates.h
@@ -202,6 +202,10 @@
     string_map<peer_state> peers;
     time_point startedAt{};
     time_point lastTick{};
+    /** Known nodes at the last tick, including this one. */
+    double nodes{1.0};
+    /** Added to limits before they are rounded down, in [0, 1); differs between the nodes of a fleet. */
+    double roundingOffset{0.0};
 };
 
 /** Result of a request for a token. */
@@ -231,10 +235,10 @@
 void applyLimits(shared_rates &state, const std::vector<workspace> &workspaces, time_point now);
 
 /**
- * Sets the list of members. A part of the tokens is reserved for each member without a current report: a node that does not hear of
- * others, for example because it just started, would otherwise use their parts of the rate itself.
+ * Sets the names of this node and of all other members. A part of the tokens is reserved for each member without a current report: a node
+ * that does not hear of others, for example because it just started, would otherwise use their parts of the rate itself.
  */
-void setMembers(shared_rates &state, const std::vector<std::string> &names, time_point now);
+void setMembers(shared_rates &state, std::string_view ownName, const std::vector<std::string> &names, time_point now);
 
 /** Applies a peer's report. Reports that are not newer than the last one of the same incarnation are ignored. */
 void applyReport(shared_rates &state, const usage_report &report, time_point now);
--- a/tests/rates/headroom_loan_test.cpp
+++ b/tests/rates/headroom_loan_test.cpp
@@ -150,7 +150,7 @@
         for (std::size_t peer{0}; peer < entry.listedPeers; ++peer) {
             names.push_back("p" + std::to_string(peer));
         }
-        setMembers(rates, names, now);
+        setMembers(rates, "n0", names, now);
         applyLimits(rates, {{.name = "w", .rate = Rate, .burst = Rate}}, now);
         std::size_t admitted{0};
         for (int tick{0}; tick < 4; ++tick) {
--- a/tests/rates/shared_rates_test.cpp
+++ b/tests/rates/shared_rates_test.cpp
@@ -77,7 +77,7 @@
                 others.push_back(nameOf(other));
             }
         }
-        setMembers(node.rates, others, m_now);
+        setMembers(node.rates, nameOf(index), others, m_now);
     }
 
     void kill(std::size_t index, duration downTime)
@@ -240,15 +240,14 @@
     }
 
     /**
-     * Takes a token, or requests headroom from up to three peers of the same partition, as a node does. Answers arrive without delay.
+     * Takes a token, or requests headroom from peers of the same partition, as a node does. Answers arrive without delay.
      */
     [[nodiscard]] rate_decision takeTokenOrBorrow(std::size_t index)
     {
-        constexpr unsigned MaxRequests{3};
         auto &own = m_nodes[index].rates;
         auto decision = takeToken(own, "w", m_now);
         pending_headroom_requests questions;
-        for (unsigned sent{0}; sent < MaxRequests && decision.lacksHeadroom; ++sent) {
+        for (unsigned sent{0}; sent < MaxHeadroomRequests && decision.lacksHeadroom; ++sent) {
             const auto peer = m_random() % m_nodes.size();
             if (peer == index || !isRunning(peer) || m_nodes[peer].partition != m_nodes[index].partition) {
                 continue;
@@ -359,6 +358,39 @@
     }
 }
 
+// Guards against parts by demand that no longer add up: in an idle workspace each node saw itself as the only one with demand.
+TEST_CASE("a workspace stays within its rate in a surge after it was idle")
+{
+    struct idle_case
+    {
+        std::string name;
+        std::size_t nodes;
+        double rate;
+        duration idle;
+        /** Time with nearly the whole rate in use between the idle time and the surge. */
+        duration calm;
+        double surge;
+    };
+    const std::vector<idle_case> cases{
+        {"95 nodes, idle before the surge", 95, 64.0, seconds{30}, seconds{0}, 5.0},
+        {"95 nodes, idle before a calm time", 95, 64.0, seconds{10}, seconds{9}, 5.0},
+        {"95 nodes, idle before a small surge", 95, 64.0, seconds{30}, seconds{0}, 1.8},
+        {"20 nodes, idle before the surge", 20, 90.0, seconds{30}, seconds{0}, 5.0},
+        {"20 nodes, idle before a calm time", 20, 90.0, seconds{10}, seconds{5}, 3.0},
+    };
+    for (const auto &entry : cases) {
+        CAPTURE(entry.name);
+        for (const std::uint64_t seed : {20261204U, 1U, 2U}) {
+            CAPTURE(seed);
+            simulated_fleet fleet{entry.nodes, entry.rate, entry.rate, seed};
+            fleet.run(entry.idle, 0.0);
+            fleet.run(entry.calm, 0.9 * entry.rate);
+            fleet.run(seconds{6}, entry.surge * entry.rate);
+            CHECK(fleet.worstWindowRatio() <= 1.0);
+        }
+    }
+}
+
 TEST_CASE("a workspace stays within its rate while nodes are suspended and resume")
 {
     struct suspension_case
@@ -448,6 +480,82 @@
     CHECK(fleet.worstWindowRatio() <= 1.0);
 }
 
+// Guards against a node that keeps the part of a fleet of one after it has learned of its peers.
+TEST_CASE("a node takes an equal part of an idle workspace, whenever it learns of its peers")
+{
+    struct learning_case
+    {
+        std::string name;
+        int ticksAlone;
+        int ticksTogether;
+    };
+    const std::vector<learning_case> cases{
+        {"at once", 0, 40},
+        {"after a second, just now", 4, 1},
+        {"after a second, a while ago", 4, 40},
+        {"after twenty seconds, just now", 80, 1},
+    };
+    for (const auto &entry : cases) {
+        CAPTURE(entry.name);
+        constexpr std::size_t Peers{94};
+        time_point now{seconds{100}};
+        auto rates = makeSharedRates({}, now);
+        applyLimits(rates, {{.name = "w", .rate = 64.0, .burst = 64.0}}, now);
+        std::vector<std::string> names;
+        for (int tick{0}; tick < entry.ticksAlone + entry.ticksTogether; ++tick) {
+            now += TickInterval;
+            if (tick == entry.ticksAlone) {
+                for (std::size_t peer{0}; peer < Peers; ++peer) {
+                    names.push_back("n" + std::to_string(peer));
+                }
+                setMembers(rates, "self", names, now);
+            }
+            for (const auto &name : names) {
+                applyReport(rates, {name, 1, static_cast<std::uint64_t>(tick) + 1, {}, true}, now);
+            }
+            updateAllowances(rates, now);
+        }
+        const auto &bucket = rates.buckets.at(workspaceId("w"));
+        CHECK(bucket.demandShare == Approx(1.0 / (Peers + 1)).epsilon(0.1));
+    }
+}
+
+// Guards against a large part of the tokens that no node may use, since each one's part of them is rounded down.
+TEST_CASE("the rounded limits of all nodes add up to the tokens that they share")
+{
+    constexpr std::size_t Nodes{95};
+    for (const double rate : {47.0, 64.0, 80.0, 90.0, 300.0}) {
+        CAPTURE(rate);
+        double limits{0.0};
+        double tokens{0.0};
+        for (std::size_t node{0}; node < Nodes; ++node) {
+            time_point now{seconds{100}};
+            auto rates = makeSharedRates({}, now);
+            applyLimits(rates, {{.name = "w", .rate = rate, .burst = rate}}, now);
+            std::vector<std::string> names;
+            for (std::size_t peer{0}; peer < Nodes; ++peer) {
+                names.push_back("node-" + std::to_string(peer));
+            }
+            const auto own = std::exchange(names[node], names.back());
+            names.pop_back();
+            setMembers(rates, own, names, now);
+            for (std::uint64_t tick{1}; tick <= 40; ++tick) {
+                now += TickInterval;
+                for (const auto &name : names) {
+                    applyReport(rates, {name, 1, tick, {}, true}, now);
+                }
+                updateAllowances(rates, now);
+            }
+            const auto &bucket = rates.buckets.at(workspaceId("w"));
+            const auto &oldest = bucket.unreportedIntervals.front();
+            limits += bucket.unreportedLimit;
+            tokens += (oldest.initialLevel + rate * toSeconds(bucket.updatedAt - oldest.startedAt)) / Nodes;
+        }
+        CHECK(limits <= (1.0 + AllowedExcess) * tokens);
+        CHECK(limits >= (1.0 - AllowedExcess) * tokens);
+    }
+}
+
 TEST_CASE("a part of the tokens is reserved for members without a current report, and for no others")
 {
     struct member_case
@@ -466,9 +574,9 @@
         time_point now{seconds{100}};
         auto rates = makeSharedRates({}, now);
         applyLimits(rates, {{.name = "w", .rate = 100.0, .burst = 100.0}}, now);
-        setMembers(rates, {"a"}, now);
+        setMembers(rates, "self", {"a"}, now);
         now += seconds{5};
-        setMembers(rates, entry.members, now);
+        setMembers(rates, "self", entry.members, now);
         const auto end = now + seconds{30};
         while (now < end) {
             now += TickInterval;
