--- a/src/ragwortpin/node/fleet_driver.cpp
+++ b/src/ragwortpin/node/fleet_driver.cpp
@@ -217,7 +217,7 @@
         m_rateWaits.add();
         co_await m_changed.wait();
         if (!control->cancelled()) {
-            decision = takeToken(m_rates, workspace, monotonicNow());
+            decision = retakeToken(m_rates, workspace, monotonicNow());
         }
     }
     rate_limit_result answer{decision.admitted, decision.retryAfter, {}};
--- a/src/ragwortpin/rates/shared_rates.cpp
+++ b/src/ragwortpin/rates/shared_rates.cpp
@@ -526,13 +526,21 @@
 }
 
 rate_decision takeToken(shared_rates &state, std::string_view workspaceName, time_point now)
+{
+    const auto found = state.buckets.find(workspaceId(workspaceName));
+    if (found != state.buckets.end()) {
+        ++found->second.requestsSinceTick;
+    }
+    return retakeToken(state, workspaceName, now);
+}
+
+rate_decision retakeToken(shared_rates &state, std::string_view workspaceName, time_point now)
 {
     const auto found = state.buckets.find(workspaceId(workspaceName));
     if (found == state.buckets.end() || internal::isUnlimited(found->second)) {
         return {.admitted = true};
     }
     auto &bucket = found->second;
-    ++bucket.requestsSinceTick;
     if (now - state.lastTick > state.options.staleReportAge) {
         return {.admitted = false, .mayWait = true, .lacksHeadroom = false, .retryAfter = internal::timeUntilToken(bucket)};
     }
--- a/src/ragwortpin/rates/shared_rates.h
+++ b/src/ragwortpin/rates/shared_rates.h
@@ -283,9 +283,15 @@
 /** Adds headroom that a peer lent. */
 void addHeadroom(shared_rates &state, std::uint32_t workspace, std::uint32_t requests);
 
-/** Takes a token for a request of a workspace, if possible. Requests of a workspace without a limit are always admitted. */
+/**
+ * Counts a request of a workspace as demand, and takes a token for it if possible. Requests of a workspace without a limit are always
+ * admitted.
+ */
 [[nodiscard]] rate_decision takeToken(shared_rates &state, std::string_view workspaceName, time_point now);
 
+/** Takes a token for a request that takeToken() has refused and that waited since; does not count it as demand again. */
+[[nodiscard]] rate_decision retakeToken(shared_rates &state, std::string_view workspaceName, time_point now);
+
 } // namespace ragwortpin
 
 #endif
--- a/tests/rates/shared_rates_test.cpp
+++ b/tests/rates/shared_rates_test.cpp
@@ -242,10 +242,10 @@
     /**
      * Takes a token, or requests headroom from peers of the same partition, as a node does. Answers arrive without delay.
      */
-    [[nodiscard]] rate_decision takeTokenOrBorrow(std::size_t index)
+    [[nodiscard]] rate_decision takeTokenOrBorrow(std::size_t index, bool isFirstAttempt)
     {
         auto &own = m_nodes[index].rates;
-        auto decision = takeToken(own, "w", m_now);
+        auto decision = isFirstAttempt ? takeToken(own, "w", m_now) : retakeToken(own, "w", m_now);
         pending_headroom_requests questions;
         for (unsigned sent{0}; sent < MaxHeadroomRequests && decision.lacksHeadroom; ++sent) {
             const auto peer = m_random() % m_nodes.size();
@@ -254,7 +254,7 @@
             }
             const auto request = requestHeadroom(questions, workspaceId("w"), m_now);
             acceptHeadroom(own, questions, answerHeadroomRequest(m_nodes[peer].rates, request, m_now));
-            decision = takeToken(own, "w", m_now);
+            decision = retakeToken(own, "w", m_now);
         }
         return decision;
     }
@@ -265,7 +265,7 @@
         if (!isRunning(index) || m_now - m_nodes[index].lastStoreContact > duration{StoreContactLifetime}) {
             return;
         }
-        const auto decision = takeTokenOrBorrow(index);
+        const auto decision = takeTokenOrBorrow(index, canWait);
         if (decision.admitted) {
             ++admitted;
             m_admitted.push_back(m_now);
@@ -556,6 +556,20 @@
     }
 }
 
+// Guards against a demand that looks like a surge because waiting requests were counted at each attempt.
+TEST_CASE("a request that waits for a token counts as demand once")
+{
+    time_point now{seconds{100}};
+    auto rates = makeSharedRates({}, now);
+    applyLimits(rates, {{.name = "w", .rate = 10.0, .burst = 0.5}}, now);
+    updateAllowances(rates, now + TickInterval);
+    CHECK_FALSE(takeToken(rates, "w", now + TickInterval).admitted);
+    for (int attempt{0}; attempt < 5; ++attempt) {
+        CHECK_FALSE(retakeToken(rates, "w", now + TickInterval).admitted);
+    }
+    CHECK(rates.buckets.at(workspaceId("w")).requestsSinceTick == 1);
+}
+
 TEST_CASE("a part of the tokens is reserved for members without a current report, and for no others")
 {
     struct member_case
