--- a/src/ragwortpin/node/fleet_driver.cpp
+++ b/src/ragwortpin/node/fleet_driver.cpp
@@ -206,8 +206,8 @@
     auto decision = takeToken(m_rates, workspace, monotonicNow());
     while (!decision.admitted && !control->cancelled()) {
         if (decision.lacksHeadroom && headroomRequests < MaxHeadroomRequests && !isHeadroomRequested(m_pendingHeadroomRequests, id)) {
+            requestHeadroomFromPeer(id, headroomRequests < MaxHeadroomRequestsInZone);
             ++headroomRequests;
-            requestHeadroomFromPeer(id);
         }
         const bool mayBorrow{decision.lacksHeadroom && isHeadroomRequested(m_pendingHeadroomRequests, id)};
         const bool mayWait{decision.mayWait && m_tickCount == firstTick};
@@ -251,7 +251,7 @@
     co_return isGranted;
 }
 
-bool fleet_driver::requestHeadroomFromPeer(std::uint32_t workspace)
+bool fleet_driver::requestHeadroomFromPeer(std::uint32_t workspace, bool prefersOwnZone)
 {
     std::vector<const instance_record *> sameZone;
     std::vector<const instance_record *> all;
@@ -264,7 +264,7 @@
             sameZone.push_back(&record);
         }
     }
-    const auto &peers = sameZone.empty() ? all : sameZone;
+    const auto &peers = prefersOwnZone && !sameZone.empty() ? sameZone : all;
     if (peers.empty()) {
         return false;
     }
--- a/src/ragwortpin/node/fleet_driver.h
+++ b/src/ragwortpin/node/fleet_driver.h
@@ -103,10 +103,10 @@
     };
 
     /**
-     * Requests headroom for a workspace from a random peer, preferably one in the own availability zone. Returns whether a request
-     * was sent.
+     * Requests headroom for a workspace from a random peer, of the own availability zone if it is preferred and has any. Returns whether a
+     * request was sent.
      */
-    bool requestHeadroomFromPeer(std::uint32_t workspace);
+    bool requestHeadroomFromPeer(std::uint32_t workspace, bool prefersOwnZone);
     [[nodiscard]] node_digest ownDigest(target_gateway &target);
     [[nodiscard]] std::string describeRate(std::string_view workspace) const;
     void smoothDemands(double elapsed);
--- a/src/ragwortpin/rates/headroom_loan.h
+++ b/src/ragwortpin/rates/headroom_loan.h
@@ -15,6 +15,9 @@
 /** Number of peers that a node asks for headroom for one request before it refuses it. */
 inline constexpr unsigned MaxHeadroomRequests{5};
 
+/** Number of them that are asked in the node's own availability zone first; a zone's demand may exceed what all its nodes have left. */
+inline constexpr unsigned MaxHeadroomRequestsInZone{2};
+
 /**
  * Request to a peer for headroom in a workspace's bucket, or the answer to such a request. Headroom is the number of requests that a
  * node may admit before its peers have a report of them.
