--- a/review/standins-2/upload_burst_case.cpp
+++ b/review/standins-2/upload_burst_case.cpp
@@ -2,10 +2,13 @@
 #include "fleet.h"
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
+#include <functional>
+#include <sstream>
 
 using namespace review;
 
@@ -38,12 +41,16 @@
     }
     std::string head{"POST /book/" + id + " HTTP/1.1\r\nHost: " + Host + "\r\nX-Ragwortpin-Attempt-Id: " + id
                      + "\r\nX-Ragwortpin-Deadline-Ms: 5000\r\nAuthorization: Bearer " + Key + "\r\n"};
-    const std::string part(64000, 'u');
+    // Clients differ in the size of their chunks.
+    const std::string part(30000 + std::hash<std::string>{}(id) % 34000, 'u');
+    std::stringstream chunkHead;
+    chunkHead << std::hex << part.size() << "\r\n";
+    const auto chunk = chunkHead.str() + part + "\r\n";
     bool isSent{false};
     if (isChunked) {
         isSent = open->write(head + "Transfer-Encoding: chunked\r\n\r\n");
         for (std::size_t sent{0}; isSent && sent < bytes; sent += part.size()) {
-            isSent = open->write("fa00\r\n" + part + "\r\n");
+            isSent = open->write(chunk);
         }
         isSent = isSent && open->write("0\r\n\r\n");
     } else {
@@ -133,6 +140,29 @@
         }
     }
 }
+
+/** Opens connections one after the other, sends one small request on each and keeps them open for a while. */
+void openConnections(const machine &host, const std::atomic<bool> &isOver)
+{
+    constexpr long IntervalMs{20};
+    constexpr std::size_t MaxOpen{250};
+    std::vector<std::unique_ptr<connection>> opened;
+    for (int number{0}; !isOver; ++number) {
+        auto open = connectTo(host.ip, host.outbound);
+        message request;
+        request.method = "POST";
+        request.target = "/book/new";
+        request.headers = {{"Host", Host}, {"X-Ragwortpin-Attempt-Id", "new-" + std::to_string(number)}, {"X-Ragwortpin-Deadline-Ms", "5000"},
+                           {"Authorization", "Bearer " + Key}};
+        if (open && open->write(serialiseRequest(request))) {
+            opened.push_back(std::move(open));
+        }
+        if (opened.size() > MaxOpen) {
+            opened.erase(opened.begin());
+        }
+        sleepMs(IntervalMs);
+    }
+}
 } // namespace
 
 int main(int, char **argv)
@@ -175,12 +205,24 @@
     for (int user{0}; user < KeptConnections; ++user) {
         users.emplace_back([&, user] { sendOnKeptConnection(front, user, isOver, clients); });
     }
+    users.emplace_back([&] { openConnections(front, isOver); });
     // Users with uploads of middle size, then a few with long ones, by turns.
-    constexpr int Rounds{14};
-    constexpr long PhaseMs{2500};
-    for (int round{0}; round < (isTroubled ? Rounds : 4) && !isKilled; ++round) {
-        uploadFor(front, isTroubled ? 4 : 1, PhaseMs, 24 * Megabyte, 31 * Megabyte, true, "chunked-" + std::to_string(round));
-        uploadFor(front, isTroubled ? 3 : 1, PhaseMs, 56 * Megabyte, 62 * Megabyte, false, "long-" + std::to_string(round));
+    struct mix
+    {
+        int users;
+        std::size_t smallest;
+        std::size_t largest;
+    };
+    constexpr std::array Mixes{mix{8, 12 * Megabyte, 28 * Megabyte},
+                               mix{12, 8 * Megabyte, 28 * Megabyte},
+                               mix{10, 12 * Megabyte, 30 * Megabyte},
+                               mix{8, 8 * Megabyte, 20 * Megabyte}};
+    constexpr long PhaseMs{2000};
+    const long end{isTroubled ? 98000L : elapsedMs() + 4 * static_cast<long>(Mixes.size()) * PhaseMs};
+    for (std::size_t round{0}; elapsedMs() < end && !isKilled; ++round) {
+        const auto &mixed = Mixes[round % Mixes.size()];
+        uploadFor(front, isTroubled ? mixed.users : 1, PhaseMs, mixed.smallest, mixed.largest, true, "chunked-" + std::to_string(round));
+        uploadFor(front, isTroubled ? 3 + static_cast<int>(round % 2) : 1, PhaseMs, 65 * Megabyte, 67 * Megabyte, false, "long-" + std::to_string(round));
     }
     sleepMs(500);
     isOver = true;
