--- a/review/standins-2/upload_burst_case.cpp
+++ b/review/standins-2/upload_burst_case.cpp
@@ -218,7 +218,9 @@
                                mix{10, 12 * Megabyte, 30 * Megabyte},
                                mix{8, 8 * Megabyte, 20 * Megabyte}};
     constexpr long PhaseMs{2000};
-    const long end{isTroubled ? 98000L : elapsedMs() + 4 * static_cast<long>(Mixes.size()) * PhaseMs};
+    // The longest burst of the site.
+    constexpr long BurstMs{20000};
+    const long end{elapsedMs() + BurstMs};
     for (std::size_t round{0}; elapsedMs() < end && !isKilled; ++round) {
         const auto &mixed = Mixes[round % Mixes.size()];
         uploadFor(front, isTroubled ? mixed.users : 1, PhaseMs, mixed.smallest, mixed.largest, true, "chunked-" + std::to_string(round));
