--- a/tests/system/platform_fleet.cpp
+++ b/tests/system/platform_fleet.cpp
@@ -233,29 +233,33 @@
     return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(wallClockNow()).count());
 }
 
-machine_fixture::machine_fixture(
-    std::string name, std::string service, const std::string &ip, std::string storeAddress, http_limits targetLimits)
+machine_process::machine_process(std::string name, std::string service, const std::string &ip, std::string storeAddress)
     : spec{std::move(name), std::move(service), ip}
     , storeIp{std::move(storeAddress)}
-    , target{{ip, AppPort}, "i-" + spec.name, targetLimits}
     , host{ip}
     , startedAt{wallClockMilliseconds()}
 {
     startNode();
 }
 
-void machine_fixture::startNode()
+machine_fixture::machine_fixture(
+    std::string name, std::string service, const std::string &ip, std::string storeAddress, http_limits targetLimits)
+    : machine_process{std::move(name), std::move(service), ip, std::move(storeAddress)}
+    , target{{ip, AppPort}, "i-" + spec.name, targetLimits}
+{ }
+
+void machine_process::startNode()
 {
     const auto file = host.writeFile("node.yaml", settingsOf(spec, storeIp));
     host.startProgram("node", "ragwortpin-platform-node", {"--settings", file});
 }
 
-unsigned machine_fixture::announce(const platform_heartbeat &heartbeat)
+unsigned machine_process::announce(const platform_heartbeat &heartbeat)
 {
     return host.request(http::verb::post, ControlPort, "/-/Instances.Heartbeat/" + heartbeat.id, {}, toBody(heartbeat)).status;
 }
 
-platform_heartbeat machine_fixture::nextHeartbeat()
+platform_heartbeat machine_process::nextHeartbeat()
 {
     return {.id = "i-" + spec.name,
             .service = spec.service,
@@ -264,18 +268,18 @@
             .startedAt = startedAt};
 }
 
-unsigned machine_fixture::announceTarget()
+unsigned machine_process::announceTarget()
 {
     return announce(nextHeartbeat());
 }
 
-void machine_fixture::changeService(const std::string &service)
+void machine_process::changeService(const std::string &service)
 {
     spec.service = service;
     host.writeFile("node.yaml", settingsOf(spec, storeIp));
 }
 
-test_response machine_fixture::send(http::verb method, const std::string &route, const std::string &id)
+test_response machine_process::send(http::verb method, const std::string &route, const std::string &id)
 {
     return host.request(method,
                         OutboundPort,
--- a/tests/system/platform_fleet.h
+++ b/tests/system/platform_fleet.h
@@ -142,10 +142,10 @@
 /** Key of the only workspace of twoServiceConfiguration(). */
 inline constexpr const char *PlatformApiKey{"6wsjnbanfqasnmgkcuyj"};
 
-/** One machine with its node process and target. Its target sends the heartbeats that the test asks for. */
-struct machine_fixture
+/** One machine with its node process. The heartbeats of its target are sent as the test asks for them. */
+struct machine_process
 {
-    machine_fixture(std::string name, std::string service, const std::string &ip, std::string storeAddress, http_limits targetLimits = {});
+    machine_process(std::string name, std::string service, const std::string &ip, std::string storeAddress);
 
     /** Starts the node process. */
     void startNode();
@@ -167,12 +167,19 @@
 
     platform_machine spec;
     std::string storeIp;
-    platform_target target;
     cluster host;
     std::uint64_t startedAt;
     std::uint64_t sequence{0};
 };
 
+/** One machine with its node process and a target that answers every request. */
+struct machine_fixture : machine_process
+{
+    machine_fixture(std::string name, std::string service, const std::string &ip, std::string storeAddress, http_limits targetLimits = {});
+
+    platform_target target;
+};
+
 /** Returns the time of day in milliseconds since the Unix epoch. */
 [[nodiscard]] std::uint64_t wallClockMilliseconds();
 
