Take an answer without a length for lost if its request was not sent whole

Callers got part of an answer as a whole one: a target answered a 30 MB upload at once with a 200 without a length, sent "part" and reset the connection while the upload was being sent; the caller got 200 with Content-Length 4.

Cause: the kernel reports the error of a connection once. The write that the reset interrupts takes it (sendmsg: ECONNRESET), and the read after it gets the bytes that arrived and then an end of stream (recvmsg: 42 bytes, then 0; strace of the test). The client pool reads on after a failed write, since a server may answer before it has read a request, and took the end of the connection for the end of the answer. TCP_USER_TIMEOUT takes the same way (sendmsg: ETIMEDOUT), with a target that reads nothing more.

Ruled out: the parser (after a request that was sent whole, the read gets ECONNRESET, and the same bytes are lost), the way between the nodes and retries (the client pool alone shows it, without either).

An answer that ends with its connection counts only if the request was sent whole, so that no error was taken before the read. One with a length or in chunks shows its end by itself and counts as before, reset or not; so does one without a length whose sender closes in order, also if it shuts down its side before it has read the upload, as long as it reads it then. A target that closes with a FIN and resets what is still being sent is not told apart from one that broke off: its answer without a length is lost, too (502, outcome unknown).

--- a/src/ragwortpin/http/client_pool.cpp
+++ b/src/ragwortpin/http/client_pool.cpp
@@ -231,7 +231,8 @@
             co_return;
         }
         const bool framed{isFramed(parser)};
-        if (!framed && !options.acceptCloseDelimited) {
+        // A write that failed has taken the error of the connection, so that the end of the connection is no proof of a whole response.
+        if (!framed && !(options.acceptCloseDelimited && open.requestFullySent)) {
             result.error = http::error::partial_message;
             co_return;
         }
--- a/src/ragwortpin/http/client_pool.h
+++ b/src/ragwortpin/http/client_pool.h
@@ -50,7 +50,10 @@
     duration unacknowledgedTimeout{milliseconds{1500}};
     /** A connection that has been idle for this long or longer is not reused. */
     duration maxIdleTime{seconds{5}};
-    /** Whether a response without length or chunking counts as complete if the server closes the connection in order. */
+    /**
+     * Whether a response without length or chunking counts as complete if the request was sent whole and the server closes the connection
+     * in order.
+     */
     bool acceptCloseDelimited{false};
     /** Header field in which responses echo the id of their request; empty if they do not. */
     std::string requestIdField{};
--- a/tests/http/broken_answer_test.cpp
+++ b/tests/http/broken_answer_test.cpp
@@ -73,6 +73,29 @@
 
 } // namespace
 
+TEST_CASE("an answer without a length counts only if its connection ended in order and the request was sent whole")
+{
+    const auto part = okAnswer("", "part");
+    const std::vector<answer_case> cases{
+        {"reset at once", {part, connection_end::Reset}, exchange_progress::Sent, UploadBytes},
+        {"reset after part of the request", {part, connection_end::Reset, 10 * Megabyte}, exchange_progress::Sent, UploadBytes},
+        {"closed with unread bytes", {part, connection_end::CloseUnread}, exchange_progress::Sent, UploadBytes},
+        {"reset after the whole request", {part, connection_end::Reset, UploadBytes}, exchange_progress::Sent, UploadBytes},
+        {"reset after a request without a body", {part, connection_end::Reset}},
+        {"request that is not read any more", {part, connection_end::Stall}, exchange_progress::Sent, UploadBytes},
+        {"closed in order", {part, connection_end::Close}, exchange_progress::Answered, UploadBytes},
+        {"shut down before the whole request was read", {part, connection_end::ShutDownFirst}, exchange_progress::Answered, UploadBytes},
+        {"closed in order after a request without a body", {part, connection_end::Close}, exchange_progress::Answered},
+    };
+    for (const auto &entry : cases) {
+        CAPTURE(entry.name);
+        const auto result = exchangeWith(entry);
+        CHECK(result.exchange.progress == entry.expected);
+        CHECK(result.exchange.response.has_value() == (entry.expected == exchange_progress::Answered));
+        CHECK(result.keptConnections == 0);
+    }
+}
+
 TEST_CASE("a whole answer with a length or in chunks counts although the connection broke while the request was sent")
 {
     const std::vector<answer_case> cases{
--- a/tests/system/broken_answer_test.cpp
+++ b/tests/system/broken_answer_test.cpp
@@ -95,6 +95,24 @@
 
 } // namespace
 
+TEST_CASE("an answer without a length that is reset while the request is being sent is not passed on")
+{
+    const auto part = okAnswer("", "part");
+    checkNotPassedOn(
+        "127.0.40.",
+        {
+            {"reset at once", {part, connection_end::Reset}, UploadBytes},
+            {"reset after part of the upload", {part, connection_end::Reset, 10 * Megabyte}, UploadBytes},
+            {"closed with unread bytes", {part, connection_end::CloseUnread}, UploadBytes},
+            {"empty part", {okAnswer("", ""), connection_end::Reset}, UploadBytes},
+            {"HTTP/1.0", {answerOf("HTTP/1.0 200 OK", "", "part"), connection_end::Reset}, UploadBytes},
+            {"failure", {answerOf("HTTP/1.1 500 No", "", "part"), connection_end::Reset}, UploadBytes},
+            {"part of a chunked body", {okAnswer("Transfer-Encoding: chunked\r\n", "4\r\npart\r\n"), connection_end::Reset}, UploadBytes},
+            {"part of a body with a length", {okAnswer("Content-Length: 8\r\n", "part"), connection_end::Reset}, UploadBytes},
+            {"reset after a request without a body", {part, connection_end::Reset}},
+        });
+}
+
 TEST_CASE("an answer in which the name of a field has an invalid character is not passed on")
 {
     struct name_case
