Take an answer with a status that HTTP does not define for lost

Seen on other systems of this kind: an answer with status 000 reached clients. Here its bytes do not, but any status below 200 was taken for an interim answer: after a 000 or 099 with a length, the target's next bytes counted as its answer, which the caller got as a 200. Statuses of 600 and above were passed on as they were, and a 101, which no request asks for, was skipped.

Cause: the parser accepts any three digits, and the client pool only compared the status with 200. readBounded(), with which every part reads its answers, now ends an answer with a status outside 100 to 599, or with 101, with bad_status. Its caller gets 502 answer_lost with the outcome unknown, which is what RFC 9110, 15 asks for: an invalid status is processed as a server error. A 600 that was passed on would make each caller decide that anew. Interim answers are discarded as before.

Ruled out: the way between the nodes, where the client pool sees the same bytes; that such an answer tells that a request did not run.

Failed before, on: test_system, 9 of 20 cases (000 and 099 before a whole answer, 600 and 999 in three ways each, 101 before a whole answer); test_store, a 600 was decoded as an answer of the store. The other 11 were 502 answer_lost before as well, among them 000 without a length, in chunks, after an upload and reset.

--- a/src/ragwortpin/http/bounded_read.h
+++ b/src/ragwortpin/http/bounded_read.h
@@ -1,6 +1,8 @@
 #ifndef RAGWORTPIN_HTTP_BOUNDED_READ_H
 #define RAGWORTPIN_HTTP_BOUNDED_READ_H
 
+#include "ragwortpin/http/framing.h"
+
 #include <utility>
 
 #include <boost/asio/awaitable.hpp>
@@ -66,7 +68,8 @@
 /**
  * Reads a message, or the rest of it if its header section was read already. The parser limits the header section and the body, but neither
  * chunk sizes and extensions nor trailers; a message with more of them than internal::MaxFramingBytes and the multiple of its body ends
- * with header_limit, and a line longer than the buffer of makeReadBuffer() with buffer_overflow.
+ * with header_limit, and a line longer than the buffer of makeReadBuffer() with buffer_overflow. A response that fails checkStatus() ends
+ * with its error.
  *
  * Before each read of the body, the reservation is asked for the memory, in bytes, that the body needs then. If it returns false, the
  * message ends with no_buffer_space.
@@ -80,6 +83,11 @@
     using boost::asio::use_awaitable;
     if (!parser.is_header_done()) {
         co_await http::async_read_header(stream, buffer, parser, redirect_error(use_awaitable, error));
+        if constexpr (!Parser::value_type::is_request::value) {
+            if (!error) {
+                error = checkStatus(parser.get());
+            }
+        }
     }
     parser.eager(true);
     std::uint64_t received{0};
--- a/src/ragwortpin/http/client_pool.cpp
+++ b/src/ragwortpin/http/client_pool.cpp
@@ -1,5 +1,7 @@
 #include "ragwortpin/http/client_pool.h"
 
+#include "ragwortpin/http/framing.h"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -90,11 +92,6 @@
     return parsed.ec == std::errc{} ? fromSeconds(static_cast<double>(timeout) * ReusableIdleFraction) : duration::max();
 }
 
-bool isFramed(const http::response_parser<message_body> &parser)
-{
-    return parser.is_done() && !parser.need_eof();
-}
-
 } // namespace
 
 http_client_pool::http_client_pool(asio::io_context &context, http_limits limits, std::optional<memory_budget> memory)
--- /dev/null
+++ b/src/ragwortpin/http/framing.h
@@ -0,0 +1,27 @@
+#ifndef RAGWORTPIN_HTTP_FRAMING_H
+#define RAGWORTPIN_HTTP_FRAMING_H
+
+#include <boost/beast/http/message.hpp>
+#include <boost/system/error_code.hpp>
+
+namespace ragwortpin {
+
+/**
+ * Checks the status of a response whose header section was read. Yields bad_status for a status that HTTP does not define (RFC 9110, 15),
+ * and for 101, as no request asks for it.
+ */
+[[nodiscard]] boost::system::error_code checkStatus(const boost::beast::http::response_header<> &header);
+
+/**
+ * Returns whether the message itself told the parser where it ends. Otherwise it ended with its connection, and is whole only if the
+ * connection was closed in order.
+ */
+template<typename Parser>
+[[nodiscard]] bool isFramed(const Parser &parser)
+{
+    return parser.is_done() && !parser.need_eof();
+}
+
+} // namespace ragwortpin
+
+#endif
--- a/tests/store/client_test.cpp
+++ b/tests/store/client_test.cpp
@@ -76,6 +76,7 @@
          true},
         {"no length", {kind::SendAndClose, "HTTP/1.1 200 OK\r\n\r\n{}"}, LongTimeout, store_errc::AnswerLost, true},
         {"status 000", {kind::SendAndClose, httpAnswer("000 ", TransactionBody)}, LongTimeout, store_errc::AnswerLost, true},
+        {"status 600", {kind::SendAndClose, httpAnswer("600 X", TransactionBody)}, LongTimeout, store_errc::AnswerLost, true},
         {"invalid name of a field",
          {kind::SendAndClose, "HTTP/1.1 200 OK\r\nX-Bad Name: v\r\nContent-Length: 2\r\n\r\n{}"},
          LongTimeout,
--- a/tests/system/broken_answer_test.cpp
+++ b/tests/system/broken_answer_test.cpp
@@ -113,6 +113,24 @@
         });
 }
 
+TEST_CASE("an answer whose status is 000 is not passed on")
+{
+    const std::string status{"HTTP/1.1 000 "};
+    const std::string length{"Content-Length: 4\r\n"};
+    const auto whole = okAnswer(length, "full");
+    checkNotPassedOn("127.0.41.",
+                     {
+                         {"without a length", {answerOf(status, "", "part")}},
+                         {"with a length", {answerOf(status, length, "full")}},
+                         {"without a body", {answerOf(status, "Content-Length: 0\r\n", "")}},
+                         {"in chunks", {answerOf(status, "Transfer-Encoding: chunked\r\n", "4\r\nfull\r\n0\r\n\r\n")}},
+                         {"after an upload", {answerOf(status, length, "full"), connection_end::Close, UploadBytes}, UploadBytes},
+                         {"reset while the request is being sent", {answerOf(status, "", "part"), connection_end::Reset}, UploadBytes},
+                         {"without a length, before a whole answer", {answerOf(status, "", "") + whole}},
+                         {"with a length, before a whole answer", {answerOf(status, length, "full") + whole}},
+                     });
+}
+
 TEST_CASE("an answer in which the name of a field has an invalid character is not passed on")
 {
     struct name_case
@@ -143,6 +161,19 @@
     checkNotPassedOn("127.0.42.", cases);
 }
 
+TEST_CASE("an answer whose status is not defined by HTTP is not passed on")
+{
+    const std::string length{"Content-Length: 4\r\n"};
+    std::vector<broken_case> cases;
+    for (const std::string status : {"099", "600", "999", "101"}) {
+        const auto line = "HTTP/1.1 " + status + " X";
+        cases.push_back({status, {answerOf(line, length, "full")}});
+        cases.push_back({status + " without a length", {answerOf(line, "", "full")}});
+        cases.push_back({status + " before a whole answer", {answerOf(line, "Content-Length: 0\r\n", "") + okAnswer(length, "full")}});
+    }
+    checkNotPassedOn("127.0.43.", cases);
+}
+
 TEST_CASE("a whole answer is passed on however its end is marked")
 {
     struct whole_case
