Refuse messages in transfer codings that are not decoded

Callers got an answer with "Transfer-Encoding: gzip", "xchunked" or "chunked, gzip" as a 200 with its undecoded framing as the body, and one with "gzip, chunked" as a 200 with the compressed bytes and without the field that names the coding. The other way round, a request in such a coding was taken for one without a body, and what followed, its body, for the next request of the connection: the listener ran a request that was smuggled inside another (two requests were handled for one).

Cause: the parser ignores a Transfer-Encoding field in which chunked is not the last coding, and drops the codings before it. checkFraming() accepts chunked alone, in a single field, for answers and requests; it is asked as soon as a header section was read, so that a request is refused before 100 Continue is sent. Answers: 502 answer_lost, the target may have run the request. Requests: 400 malformed_request, not run, and the connection is closed (RFC 9112, 6.1 and 6.3).

Ruled out: decoding the codings that are known. No request of a node has a TE field, so that no target may use them.

--- a/src/ragwortpin/http/bounded_read.h
+++ b/src/ragwortpin/http/bounded_read.h
@@ -68,8 +68,8 @@
 /**
  * Reads a message, or the rest of it if its header section was read already. The parser limits the header section and the body, but neither
  * chunk sizes and extensions nor trailers; a message with more of them than internal::MaxFramingBytes and the multiple of its body ends
- * with header_limit, and a line longer than the buffer of makeReadBuffer() with buffer_overflow. A response that fails checkStatus() ends
- * with its error.
+ * with header_limit, and a line longer than the buffer of makeReadBuffer() with buffer_overflow. A message that fails checkFraming() ends
+ * with its error, unless the header section was read already.
  *
  * Before each read of the body, the reservation is asked for the memory, in bytes, that the body needs then. If it returns false, the
  * message ends with no_buffer_space.
@@ -83,10 +83,8 @@
     using boost::asio::use_awaitable;
     if (!parser.is_header_done()) {
         co_await http::async_read_header(stream, buffer, parser, redirect_error(use_awaitable, error));
-        if constexpr (!Parser::value_type::is_request::value) {
-            if (!error) {
-                error = checkStatus(parser.get());
-            }
+        if (!error) {
+            error = checkFraming(parser.get());
         }
     }
     parser.eager(true);
--- a/src/ragwortpin/http/server.cpp
+++ b/src/ragwortpin/http/server.cpp
@@ -1,6 +1,7 @@
 #include "ragwortpin/http/server.h"
 
 #include "ragwortpin/http/bounded_read.h"
+#include "ragwortpin/http/framing.h"
 #include "ragwortpin/http/socket.h"
 #include "ragwortpin/runtime/async_signal.h"
 #include "ragwortpin/runtime/logging.h"
@@ -291,6 +292,9 @@
             }
             co_await fillBuffer(parser, error);
         }
+        if (!error) {
+            error = checkFraming(parser.get());
+        }
     }
 
     asio::awaitable<void> fillBuffer(request_parser &parser, boost::system::error_code &error)
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -44,6 +44,9 @@
     return answer;
 }
 
+/** Request that a listener would read if it took the body of another for empty. */
+const std::string InnerRequest{"GET /inner HTTP/1.1\r\nHost: a\r\n\r\n"};
+
 std::string manyTrailers()
 {
     constexpr unsigned Count{60'000};
@@ -69,6 +72,19 @@
          "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
          "HTTP/1.1 400",
          1},
+        {"chunked encoding", "POST / HTTP/1.1\r\nTransfer-Encoding: Chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", "HTTP/1.1 200", 0},
+        {"unknown coding", "POST / HTTP/1.1\r\nTransfer-Encoding: xchunked\r\n\r\n" + InnerRequest, "HTTP/1.1 400", 1},
+        {"coding behind chunked", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked, gzip\r\n\r\n" + InnerRequest, "HTTP/1.1 400", 1},
+        {"coding before chunked", "POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", "HTTP/1.1 400", 1},
+        {"codings in two fields",
+         "POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+         "HTTP/1.1 400",
+         1},
+        {"unknown coding and a length", "POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\nContent-Length: 2\r\n\r\nhi", "HTTP/1.1 400", 1},
+        {"unknown coding, expects 100-continue",
+         "POST / HTTP/1.1\r\nExpect: 100-continue\r\nTransfer-Encoding: xchunked\r\n\r\n",
+         "HTTP/1.1 400",
+         1},
         {"trailers without end",
          "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA: " + std::string(400'000, 'x'),
          "HTTP/1.1 431",
@@ -82,9 +98,11 @@
         CAPTURE(entry.name);
         boost::asio::io_context context{1};
         std::vector<refusal_kind> refusals;
+        unsigned handled{0};
         http_server server{context,
                            {},
-                           [](http_request, std::shared_ptr<call_control>) -> boost::asio::awaitable<http_response> {
+                           [&handled](http_request, std::shared_ptr<call_control>) -> boost::asio::awaitable<http_response> {
+                               ++handled;
                                co_return makeResponse(http::status::ok, "text/plain", "fine");
                            },
                            [&refusals](refusal_kind kind) {
@@ -95,6 +113,7 @@
         CHECK(answer.substr(0, entry.expectedStart.size()) == entry.expectedStart);
         CHECK(refusals.size() == entry.expectedRefusals);
         if (entry.expectedRefusals > 0) {
+            CHECK(handled == 0);
             CHECK(answer.find("Ragwortpin-Outcome: not_run") != std::string::npos);
         }
     }
--- a/tests/peers/control_client_test.cpp
+++ b/tests/peers/control_client_test.cpp
@@ -46,6 +46,8 @@
         {"without a length, reset", ok, "", Body.substr(0, 20), connection_end::Reset},
         {"with a length, cut off", ok, length, Body.substr(0, 20)},
         {"in chunks, cut off", ok, chunked, "24\r\n" + Body + "\r\n"},
+        {"unknown coding", ok, "Transfer-Encoding: xchunked\r\n", Body},
+        {"coding before chunked", ok, "Transfer-Encoding: gzip, chunked\r\n", chunks},
         {"status 000", "HTTP/1.1 000 ", length, Body},
         {"status 600", "HTTP/1.1 600 X", length, Body},
         {"invalid name of a field", ok, "X-Bad Name: v\r\n" + length, Body},
--- a/tests/system/broken_answer_test.cpp
+++ b/tests/system/broken_answer_test.cpp
@@ -174,6 +174,19 @@
     checkNotPassedOn("127.0.43.", cases);
 }
 
+TEST_CASE("an answer in a transfer coding that the node does not decode is not passed on")
+{
+    const std::string body{"4\r\nfull\r\n0\r\n\r\n"};
+    std::vector<broken_case> cases;
+    for (const std::string codings :
+         {"gzip", "xchunked", "chunked, gzip", "gzip, chunked", "identity", "chunked, chunked", "chunked;x=y", ""}) {
+        cases.push_back({codings + ", closed", {okAnswer("Transfer-Encoding: " + codings + "\r\n", body)}});
+        cases.push_back({codings + ", with a length", {okAnswer("Transfer-Encoding: " + codings + "\r\nContent-Length: 4\r\n", "full")}});
+    }
+    cases.push_back({"two lines", {okAnswer("Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n", body)}});
+    checkNotPassedOn("127.0.44.", cases);
+}
+
 TEST_CASE("a whole answer is passed on however its end is marked")
 {
     struct whole_case
