Discard the trailers of messages

A target that ran a request and answered 200 in chunks, with X-Ragwortpin-Not-Executed in a trailer, made its node say 503 not run with Retry-After: a false promise, upon which clients send once-requests again. Content-Encoding, the id of the answer and every other field took effect from a trailer in the same way, in answers as in requests.

Cause: the parser adds trailers to the fields of the header section, and every part reads them there (RFC 9110, 6.5.1 forbids that). readBounded() lists the fields once the header section was read and removes the others when the message is complete. Messages without chunks are not touched.

Ruled out: removing the fields that take effect by name, since their names differ between deployments; passing trailers on, which no part asks for and which needs chunks on the way to the caller.

--- a/src/ragwortpin/http/bounded_read.h
+++ b/src/ragwortpin/http/bounded_read.h
@@ -69,7 +69,7 @@
  * Reads a message, or the rest of it if its header section was read already. The parser limits the header section and the body, but neither
  * chunk sizes and extensions nor trailers; a message with more of them than internal::MaxFramingBytes and the multiple of its body ends
  * with header_limit, and a line longer than the buffer of makeReadBuffer() with buffer_overflow. A message that fails checkFraming() ends
- * with its error, unless the header section was read already.
+ * with its error, unless the header section was read already. Trailers are discarded.
  *
  * Before each read of the body, the reservation is asked for the memory, in bytes, that the body needs then. If it returns false, the
  * message ends with no_buffer_space.
@@ -87,6 +87,7 @@
             error = checkFraming(parser.get());
         }
     }
+    const auto headerFields = parser.chunked() ? internal::listFields(parser.get()) : internal::field_list{};
     parser.eager(true);
     std::uint64_t received{0};
     while (!error && !parser.is_done()) {
@@ -101,6 +102,9 @@
             error = http::error::header_limit;
         }
     }
+    if (!error && parser.chunked()) {
+        internal::removeUnlistedFields(parser.get(), headerFields);
+    }
 }
 
 } // namespace ragwortpin
--- a/src/ragwortpin/http/framing.cpp
+++ b/src/ragwortpin/http/framing.cpp
@@ -37,4 +37,30 @@
     return hasDecodableBody(header) ? boost::system::error_code{} : http::error::bad_transfer_encoding;
 }
 
+namespace internal {
+
+field_list listFields(const http::fields &fields)
+{
+    field_list listed;
+    for (const auto &field : fields) {
+        listed.push_back(&field);
+    }
+    return listed;
+}
+
+void removeUnlistedFields(http::fields &fields, const field_list &listed)
+{
+    auto next = listed.begin();
+    for (auto field = fields.begin(); field != fields.end();) {
+        if (next != listed.end() && &*field == *next) {
+            ++next;
+            ++field;
+        } else {
+            field = fields.erase(field);
+        }
+    }
+}
+
+} // namespace internal
+
 } // namespace ragwortpin
--- a/src/ragwortpin/http/framing.h
+++ b/src/ragwortpin/http/framing.h
@@ -1,9 +1,12 @@
 #ifndef RAGWORTPIN_HTTP_FRAMING_H
 #define RAGWORTPIN_HTTP_FRAMING_H
 
+#include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/system/error_code.hpp>
 
+#include <vector>
+
 namespace ragwortpin {
 
 /**
@@ -27,6 +30,21 @@
     return parser.is_done() && !parser.need_eof();
 }
 
+namespace internal {
+
+/** Fields of a header section, in their order. Valid while none of them is removed. */
+using field_list = std::vector<const boost::beast::http::fields::value_type *>;
+
+[[nodiscard]] field_list listFields(const boost::beast::http::fields &fields);
+
+/**
+ * Removes the fields that are not listed. The parser adds trailers to the fields of the header section, where they must not take effect
+ * (RFC 9110, 6.5.1).
+ */
+void removeUnlistedFields(boost::beast::http::fields &fields, const field_list &listed);
+
+} // namespace internal
+
 } // namespace ragwortpin
 
 #endif
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -119,6 +119,46 @@
     }
 }
 
+TEST_CASE("trailers of a request do not become fields of its header section")
+{
+    struct trailer_case
+    {
+        std::string name;
+        std::string fields;
+        std::string trailers;
+    };
+    const std::vector<trailer_case> cases{
+        {"none", "X-Id: a\r\n", ""},
+        {"new field", "X-Id: a\r\n", "X-Other: b\r\n"},
+        {"field that the header section has", "X-Id: a\r\n", "X-Id: b\r\n"},
+        {"several", "X-Id: a\r\n", "Authorization: b\r\nX-ID: b\r\nConnection: X-Id\r\n"},
+    };
+    for (const auto &entry : cases) {
+        CAPTURE(entry.name);
+        boost::asio::io_context context{1};
+        std::vector<std::string> fields;
+        std::string body;
+        http_server server{context,
+                           {},
+                           [&](http_request request, std::shared_ptr<call_control>) -> boost::asio::awaitable<http_response> {
+                               for (const auto &field : request) {
+                                   fields.push_back(std::string{field.name_string()} + ": " + std::string{field.value()});
+                               }
+                               body = request.body();
+                               co_return makeResponse(http::status::ok, "text/plain", "fine");
+                           },
+                           [](refusal_kind) {}};
+        REQUIRE_FALSE(server.listen({"127.0.0.1", 0}));
+        const auto answer = sendRaw(context,
+                                    server.port(),
+                                    "POST / HTTP/1.1\r\n" + entry.fields + "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n"
+                                        + entry.trailers + "\r\n");
+        CHECK(answer.starts_with("HTTP/1.1 200"));
+        CHECK(fields == std::vector<std::string>{"X-Id: a", "Transfer-Encoding: chunked"});
+        CHECK(body == "hi");
+    }
+}
+
 TEST_CASE("hop-by-hop and internal fields are removed")
 {
     http_request request{http::verb::get, "/", 11};
--- a/tests/system/broken_answer_test.cpp
+++ b/tests/system/broken_answer_test.cpp
@@ -237,6 +237,14 @@
          ok,
          "full",
          "4"},
+        {"in chunks, with trailers",
+         "GET",
+         0,
+         {okAnswer(chunkedField,
+                   chunks + "X-Ragwortpin-Not-Executed: 1\r\nContent-Encoding: gzip\r\nX-Ragwortpin-Attempt-Id: other\r\n\r\n")},
+         ok,
+         "full",
+         "4"},
     };
     raw_target_fleet fleet{"127.0.45."};
     for (const auto &entry : cases) {
