Keep the length that an answer without a body names

A caller got "Content-Length: 0" for HEAD and for 304 whatever the target had named, also where it named none, and a 204 with a length.

Cause: the last hop sets the length of every answer to that of its body, so that answers in chunks or without a length get one. Answers to HEAD and with 304 have no body, and their length is that of an answer to GET; a 204 must not have one (RFC 9110, 8.6). setRelayedLength() leaves the former as the target sent it and removes the latter.

Ruled out: the first hop and the listener, which pass the length on as it is; both know by the method or the status that no body follows.

Failed before, on: test_system, 5 of 5 rows (HEAD with a length, without one, in chunks; 304; 204).

--- a/src/ragwortpin/http/message.cpp
+++ b/src/ragwortpin/http/message.cpp
@@ -67,6 +67,15 @@
     }
 }
 
+void setRelayedLength(http_response &response, bool isResponseToHead)
+{
+    if (response.result() == http::status::no_content) {
+        response.erase(http::field::content_length);
+    } else if (!isResponseToHead && response.result() != http::status::not_modified) {
+        response.prepare_payload();
+    }
+}
+
 http_response makeRefusalResponse(refusal_kind kind, outcome knownOutcome, duration retryAfter)
 {
     const auto &description = describe(kind);
--- a/src/ragwortpin/http/message.h
+++ b/src/ragwortpin/http/message.h
@@ -87,6 +87,12 @@
 /** Removes every field whose name begins with field::Prefix, regardless of case. */
 void removeInternalFields(http::fields &fields);
 
+/**
+ * Sets Content-Length to the size of the body of a response that is relayed. A response to HEAD and one with status 304 have no body and
+ * keep the length that they name, which is that of a response to GET; one with status 204 has none (RFC 9110, 8.6).
+ */
+void setRelayedLength(http_response &response, bool isResponseToHead);
+
 /** Builds a refusal: status, Ragwortpin-Refusal and -Outcome, JSON body with the remedy; Retry-After and -Pause-Ms if positive. */
 [[nodiscard]] http_response makeRefusalResponse(refusal_kind kind, outcome knownOutcome, duration retryAfter = duration::zero());
 
--- a/src/ragwortpin/targets/target_gateway.cpp
+++ b/src/ragwortpin/targets/target_gateway.cpp
@@ -231,6 +231,7 @@
         message.set(m_options.headers.deadline, std::to_string(remaining.count()));
         return !obstacle;
     };
+    const bool isHead{call.request.method() == http::verb::head};
     auto message = toTargetRequest(call, token, startedAt);
     auto result = co_await m_client.exchange(address, std::move(message), call.deadline, call.control, std::move(options));
     m_inFlight.remove(token);
@@ -242,7 +243,7 @@
     cancelCalls(*request);
     releaseSlot(id, *request, result, call.control->cancelled() || obstacle.has_value());
     m_targetTime.record(monotonicNow() - startedAt);
-    auto answer = obstacle ? refuseSend(*obstacle, call) : toAnswer(std::move(result), call, *request, incarnation);
+    auto answer = obstacle ? refuseSend(*obstacle, call) : toAnswer(std::move(result), isHead, call, *request, incarnation);
     logOutcome(call, answer, monotonicNow() - startedAt);
     if (call.context.trace.sampled) {
         m_spans(span{.trace = call.context.trace,
@@ -347,8 +348,8 @@
     }
 }
 
-call_answer
-target_gateway::toAnswer(exchange_result result, const inbound_call &call, const in_flight_request &request, const std::string &incarnation)
+call_answer target_gateway::toAnswer(
+    exchange_result result, bool isHead, const inbound_call &call, const in_flight_request &request, const std::string &incarnation)
 {
     call_answer answer;
     if (result.progress == exchange_progress::Answered && indicatesNotRun(*result.response, m_options.headers)) {
@@ -365,7 +366,7 @@
         answer.response = std::move(*result.response);
         removeInternalFields(answer.response);
         removeHopByHopFields(answer.response);
-        answer.response.prepare_payload();
+        setRelayedLength(answer.response, isHead);
         answer.result = outcome::Ran;
         answer.arrivals = 1;
         answer.unusedAllowance = unusedAllowance(request.escrow);
--- a/src/ragwortpin/targets/target_gateway.h
+++ b/src/ragwortpin/targets/target_gateway.h
@@ -184,8 +184,8 @@
     [[nodiscard]] boost::asio::awaitable<call_answer> exchangeWithTarget(inbound_call &call, request_id id);
     [[nodiscard]] call_answer refuse(refusal_kind kind, const inbound_call &call);
     [[nodiscard]] http_request toTargetRequest(inbound_call &call, const std::string &token, time_point now) const;
-    [[nodiscard]] call_answer
-    toAnswer(exchange_result result, const inbound_call &call, const in_flight_request &request, const std::string &incarnation);
+    [[nodiscard]] call_answer toAnswer(
+        exchange_result result, bool isHead, const inbound_call &call, const in_flight_request &request, const std::string &incarnation);
     void observeMisdirected(const std::string &incarnation);
     void logOutcome(const inbound_call &call, const call_answer &answer, duration elapsed) const;
     void releaseSlot(request_id id, const in_flight_request &request, const exchange_result &result, bool cancelled);
--- a/tests/system/broken_answer_test.cpp
+++ b/tests/system/broken_answer_test.cpp
@@ -245,6 +245,11 @@
          ok,
          "full",
          "4"},
+        {"to HEAD, with a length", "HEAD", 0, {okAnswer(lengthField, "")}, ok, "", "4"},
+        {"to HEAD, without a length", "HEAD", 0, {okAnswer("", "")}, ok, "", std::nullopt},
+        {"to HEAD, in chunks", "HEAD", 0, {okAnswer(chunkedField, "")}, ok, "", std::nullopt},
+        {"304 with a length", "GET", 0, {answerOf("HTTP/1.1 304 Not Modified", lengthField, "")}, "HTTP/1.1 304 Not Modified", "", "4"},
+        {"204", "GET", 0, {answerOf("HTTP/1.1 204 No Content", "", "")}, "HTTP/1.1 204 No Content", "", std::nullopt},
     };
     raw_target_fleet fleet{"127.0.45."};
     for (const auto &entry : cases) {
