Read the messages of the stand-ins as the nodes read theirs

The client of the stand-ins, with which the load tool judges answers, took these for whole: an answer without a length, in an unknown coding, with status 000 or 600; and an interim answer for the final one. It timed out on HEAD, and after extra bytes behind an answer it used the connection again. Their server ran what followed a request in an unknown coding as another request.

Cause: both read with async_read(), which does none of the checks of readBounded(). They use readBounded() now. The client accepts answers with a length or in chunks only, which is all that nodes and stand-ins send.

--- a/src/standins/support/http_client.cpp
+++ b/src/standins/support/http_client.cpp
@@ -1,10 +1,13 @@
 #include "standins/support/http_client.h"
 
+#include "ragwortpin/http/bounded_read.h"
+#include "ragwortpin/http/framing.h"
+
 #include <boost/asio/ip/address_v4.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/write.hpp>
 
 namespace ragwortpin::standins {
@@ -16,6 +19,13 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
+constexpr std::uint32_t MaxHeaderBytes{8UL * 1024UL};
+constexpr std::uint64_t MaxBodyBytes{8'000'000};
+/** Lower status codes are interim responses. */
+constexpr unsigned FirstFinalStatus{200};
+/** Number of interim responses that are discarded before a call fails. */
+constexpr unsigned MaxInterimResponses{3};
+
 /** Returns whether an idle connection is still open and has no unexpected data to read. */
 bool isUsable(tcp::socket &socket)
 {
@@ -69,16 +79,17 @@
         result.error = co_await connect(*stream, address);
     }
     result.connected = !result.error;
+    bool reusable{false};
     if (result.connected) {
         request.set(http::field::host, toText(address));
         request.prepare_payload();
-        result.error = co_await exchangeMessages(stream, request, result.response);
+        result.error = co_await exchangeMessages(stream, request, result.response, reusable);
     }
     if (caller) {
         caller->onCancel = nullptr;
     }
     --m_inUse;
-    if (!result.error && result.response.keep_alive()) {
+    if (reusable) {
         stream->expires_never();
         m_idle[address].push_back(stream);
         ++m_idleCount;
@@ -117,16 +128,34 @@
     }
 }
 
-asio::awaitable<std::error_code> http_client::exchangeMessages(stream_pointer stream, http_request &request, http_response &response)
+asio::awaitable<std::error_code>
+http_client::exchangeMessages(stream_pointer stream, http_request &request, http_response &response, bool &reusable)
 {
     error_code error;
     co_await http::async_write(*stream, request, asio::redirect_error(asio::use_awaitable, error));
     if (error) {
         co_return error;
     }
-    boost::beast::flat_buffer buffer;
-    co_await http::async_read(*stream, buffer, response, asio::redirect_error(asio::use_awaitable, error));
-    co_return error;
+    auto buffer = makeReadBuffer(MaxHeaderBytes);
+    for (unsigned read{0}; read <= MaxInterimResponses; ++read) {
+        http::response_parser<http::string_body> parser;
+        parser.header_limit(MaxHeaderBytes);
+        parser.body_limit(MaxBodyBytes);
+        parser.skip(request.method() == http::verb::head);
+        co_await readBounded(*stream, buffer, parser, error);
+        if (error) {
+            co_return error;
+        }
+        if (!isFramed(parser)) {
+            co_return make_error_code(http::error::partial_message);
+        }
+        response = parser.release();
+        if (response.result_int() >= FirstFinalStatus) {
+            reusable = response.keep_alive() && buffer.size() == 0;
+            co_return error;
+        }
+    }
+    co_return make_error_code(http::error::bad_status);
 }
 
 } // namespace ragwortpin::standins
--- a/src/standins/support/http_client.h
+++ b/src/standins/support/http_client.h
@@ -23,7 +23,7 @@
 /** Result of one HTTP call. */
 struct call_result
 {
-    /** Set unless a complete response was received. */
+    /** Set unless a complete response was received, as its length or its chunking shows. */
     std::error_code error;
     /** Whether a connection was established. If not, nothing was sent. */
     bool connected{false};
@@ -55,7 +55,8 @@
 
     stream_pointer takeIdleConnection(const endpoint &address);
     void closeIdleConnection();
-    boost::asio::awaitable<std::error_code> exchangeMessages(stream_pointer stream, http_request &request, http_response &response);
+    boost::asio::awaitable<std::error_code>
+    exchangeMessages(stream_pointer stream, http_request &request, http_response &response, bool &reusable);
 
     boost::asio::io_context &m_context;
     std::size_t m_maxConnections;
--- a/src/standins/support/http_server.cpp
+++ b/src/standins/support/http_server.cpp
@@ -1,16 +1,16 @@
 #include "standins/support/http_server.h"
 
+#include "ragwortpin/http/bounded_read.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/address_v4.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -25,6 +25,7 @@
 
 /** Maximum size of a request body, in bytes. */
 constexpr std::uint64_t MaxBodyBytes{8'000'000};
+constexpr std::size_t MaxHeaderBytes{8UL * 1024UL};
 
 /**
  * Cancels the exchange when the client closes the connection. Returns when further data arrives from the client or the exchange
@@ -136,12 +137,12 @@
     const auto socket = std::make_shared<tcp::socket>(std::move(accepted));
     error_code error;
     socket->set_option(tcp::no_delay{true}, error);
-    boost::beast::flat_buffer buffer;
+    auto buffer = makeReadBuffer(MaxHeaderBytes);
     bool open{true};
     while (open) {
         http::request_parser<http::string_body> parser;
         parser.body_limit(MaxBodyBytes);
-        co_await http::async_read(*socket, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        co_await readBounded(*socket, buffer, parser, error);
         if (error) {
             break;
         }
