Report an answer that was cut off within its length field as truncated

The load tool reports answers that were cut off and answers to another request apart.

Cause: the length field was read as far as the answer went. It has to be there in full.

--- a/src/standins/support/response_body.cpp
+++ b/src/standins/support/response_body.cpp
@@ -30,7 +30,7 @@
     std::size_t length{0};
     const auto field = body.substr(0, LengthDigits);
     const auto [end, error] = std::from_chars(field.data(), field.data() + field.size(), length);
-    if (error != std::errc{} || end != field.data() + field.size() || length != body.size()) {
+    if (field.size() != LengthDigits || error != std::errc{} || end != field.data() + field.size() || length != body.size()) {
         return body_check::Truncated;
     }
     const auto line = body.substr(0, body.find('\n'));
--- a/tests/standins/load_test.cpp
+++ b/tests/standins/load_test.cpp
@@ -121,6 +121,8 @@
         const auto shorter = *rc::gen::inRange<std::size_t>(0, body.size());
         RC_ASSERT(checkResponseBody(body.substr(0, shorter), testId) == body_check::Truncated);
     });
+    // Its length is that which the digits left of the length field name.
+    CHECK(checkResponseBody(makeResponseBody("clips", "t-0", 71).substr(0, 7), "t-0") == body_check::Truncated);
 }
 
 TEST_CASE("percentiles are values of the sample")
