Split the raw client of the tests from the raw server

The client takes an address and a port in a header of its own, and the tests of the stand-ins' client and server are two files. No check is changed.

--- a/tests/raw_server.cpp
+++ b/tests/raw_server.cpp
@@ -2,9 +2,7 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/completion_condition.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -146,17 +144,4 @@
     }
 }
 
-std::string exchangeBytes(const endpoint &server, const std::string &bytes)
-{
-    asio::io_context context{1};
-    tcp::socket socket{context};
-    boost::system::error_code error;
-    socket.connect({asio::ip::make_address(server.address), server.port}, error);
-    asio::write(socket, asio::buffer(bytes), error);
-    std::string answer;
-    error = {};
-    asio::read(socket, asio::dynamic_buffer(answer), asio::transfer_all(), error);
-    return answer;
-}
-
 } // namespace ragwortpin::test
--- a/tests/raw_server.h
+++ b/tests/raw_server.h
@@ -4,7 +4,6 @@
 #include "ragwortpin/http/message.h"
 
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
@@ -78,9 +77,6 @@
     std::thread m_thread;
 };
 
-/** Sends bytes on a new connection and returns everything that the server sends until the connection ends. */
-[[nodiscard]] std::string exchangeBytes(const endpoint &server, const std::string &bytes);
-
 } // namespace ragwortpin::test
 
 #endif
--- a/tests/system/broken_answer_test.cpp
+++ b/tests/system/broken_answer_test.cpp
@@ -1,5 +1,6 @@
 #include "platform_fleet.h"
 
+#include "raw_client.h"
 #include "raw_server.h"
 
 #include <catch2/catch.hpp>
@@ -47,7 +48,8 @@
         waitUntilServing();
         target.answerWith(answer);
         const std::string length{bodyBytes > 0 ? "Content-Length: " + std::to_string(bodyBytes) + "\r\n" : ""};
-        return exchangeBytes({front.spec.ip, OutboundPort},
+        return exchangeBytes(front.spec.ip,
+                             OutboundPort,
                              method + " /book/1 HTTP/1.1\r\nHost: book.example\r\nConnection: close\r\nAuthorization: Bearer "
                                  + PlatformApiKey + "\r\nX-Ragwortpin-Attempt-Id: " + RawRequestId
                                  + "\r\nX-Ragwortpin-Deadline-Ms: 3000\r\n" + length + "\r\n" + std::string(bodyBytes, 'u'));
@@ -153,7 +155,9 @@
     const std::string chunked{"Transfer-Encoding: chunked\r\n"};
     std::vector<broken_case> cases;
     for (const auto &[name, field] : names) {
-        cases.push_back({name + ", first line", {"HTTP/1.1 200 OK\r\n" + field + IdField + length + "\r\nfull"}});
+        std::string first{"HTTP/1.1 200 OK\r\n"};
+        first.append(field).append(IdField).append(length).append("\r\nfull");
+        cases.push_back({name + ", first line", {first}});
         cases.push_back({name + ", later line", {okAnswer(length + field, "full")}});
         cases.push_back({name + ", without a length", {okAnswer(field, "full")}});
         cases.push_back({name + ", trailer", {okAnswer(chunked, "4\r\nfull\r\n0\r\n" + field + "\r\n")}});
