End the node of a test machine before its target again

Since the fixture of a machine was split, its target ended before the node that was connected to it. A test process that sanitizers abort at that point left its nodes running: three after eight cases, and the next cases at the same addresses failed for them.

Cause: the target became a member of the class derived from the one that owns the node. No check is changed.

Ruled out: the use after free that aborts, in the destructor of a session whose listener has ended.

--- a/tests/system/platform_fleet.cpp
+++ b/tests/system/platform_fleet.cpp
@@ -244,8 +244,8 @@
 
 machine_fixture::machine_fixture(
     std::string name, std::string service, const std::string &ip, std::string storeAddress, http_limits targetLimits)
-    : machine_process{std::move(name), std::move(service), ip, std::move(storeAddress)}
-    , target{{ip, AppPort}, "i-" + spec.name, targetLimits}
+    : fixture_target{{{ip, AppPort}, "i-" + name, targetLimits}}
+    , machine_process{std::move(name), std::move(service), ip, std::move(storeAddress)}
 { }
 
 void machine_process::startNode()
--- a/tests/system/platform_fleet.h
+++ b/tests/system/platform_fleet.h
@@ -172,12 +172,16 @@
     std::uint64_t sequence{0};
 };
 
+/** Target of a machine_fixture. A base, so that the target listens before the node starts and until the node has ended. */
+struct fixture_target
+{
+    platform_target target;
+};
+
 /** One machine with its node process and a target that answers every request. */
-struct machine_fixture : machine_process
+struct machine_fixture : fixture_target, machine_process
 {
     machine_fixture(std::string name, std::string service, const std::string &ip, std::string storeAddress, http_limits targetLimits = {});
-
-    platform_target target;
 };
 
 /** Returns the time of day in milliseconds since the Unix epoch. */
