Read a stored departure of any nesting as malformed

An entry of another writer under ragwortpin/departures/NAME with JSON nested some thousand deep made the read of departures throw. The call that reads is not repeated after an exception, so that process stored no departure any more, and its next one used a target that had left.

Cause: decodeDeparture() used a reader with the default depth and did not catch what it throws beyond it.

Change: the text is parsed with a bound of eight levels, and an exception of the reader counts as a malformed text, as in the admin listener.

Test: test_targets, "a stored text that is no departure names no target", with 3,000 brackets: failed before with "Exceeded stackLimit in readValue()" (30 of 32 assertions passed), passes now.

--- a/src/ragwortpin/targets/departure_record.cpp
+++ b/src/ragwortpin/targets/departure_record.cpp
@@ -14,6 +14,21 @@
 constexpr const char *StartedAtField{"started_at_ms"};
 constexpr const char *SequenceField{"sequence"};
 constexpr const char *EndedField{"ended"};
+constexpr int MaxJsonDepth{8};
+
+std::optional<Json::Value> parseJson(std::string_view text)
+{
+    Json::CharReaderBuilder builder;
+    builder["stackLimit"] = MaxJsonDepth;
+    builder["failIfExtra"] = true;
+    const std::unique_ptr<Json::CharReader> reader{builder.newCharReader()};
+    Json::Value value;
+    try {
+        return reader->parse(text.data(), text.data() + text.size(), &value, nullptr) ? std::optional{value} : std::nullopt;
+    } catch (const Json::Exception &) {
+        return std::nullopt;
+    }
+}
 
 } // namespace
 
@@ -31,10 +46,9 @@
 
 std::optional<departure_record> decodeDeparture(std::string_view text)
 {
-    const std::unique_ptr<Json::CharReader> reader{Json::CharReaderBuilder{}.newCharReader()};
-    Json::Value object;
-    const bool isParsed{reader->parse(text.data(), text.data() + text.size(), &object, nullptr)};
-    const bool isComplete{isParsed && object.isObject() && object[IncarnationField].isString() && object[StartedAtField].isUInt64()
+    const auto parsed = parseJson(text);
+    const auto object = parsed.value_or(Json::Value{});
+    const bool isComplete{object.isObject() && object[IncarnationField].isString() && object[StartedAtField].isUInt64()
                           && object[SequenceField].isUInt64() && object[EndedField].isBool()};
     if (!isComplete || !isName(object[IncarnationField].asString())) {
         return std::nullopt;
--- a/tests/targets/departure_record_test.cpp
+++ b/tests/targets/departure_record_test.cpp
@@ -29,6 +29,7 @@
         R"({"incarnation":"","started_at_ms":1,"sequence":1,"ended":true})",
         "{\"incarnation\":\"\xed\xa0\x80\",\"started_at_ms\":1,\"sequence\":1,\"ended\":true}",
         R"({"incarnation":"i-1","started_at_ms":1,"sequence":1,"ended":true)",
+        R"({"incarnation":"i-1","started_at_ms":1,"sequence":1,"ended":true,"earlier":)" + std::string(3000, '['),
     };
     for (const auto &text : malformed) {
         CAPTURE(text);
