Store every departure that was acknowledged, not only the last one of an announced target

What callers saw: a target deregistered at a process of its node that it had not announced itself to, as after a restart of the node, and got 200. The node was killed and started again, a delayed heartbeat arrived, and 10 of 10 requests ran at the target that had left (bound: none, 2 s after the acknowledgement).

Cause: the entry in the store had room for one departure, and only that of an announced target was written, since anybody can name any id. So one of an id that was not announced, or one that another departure had replaced, was known to the acknowledging process alone. Besides, the entry was written without a condition: a write that got no response may take effect seconds later and replace a newer one, and a write that found the mailbox of the store thread full was dropped.

Ruled out: that the delayed heartbeat is judged wrongly; with the departure in the entry it is stale.

It is written under the condition that it is the one that was read, and read again after a write that failed. What the store thread could not take is sent again. A departure that is reported again takes no second place among those that the process remembers.

--- a/src/ragwortpin/node/data_plane.cpp
+++ b/src/ragwortpin/node/data_plane.cpp
@@ -5,6 +5,7 @@
 #include "ragwortpin/peers/signature.h"
 #include "ragwortpin/runtime/guard.h"
 #include "ragwortpin/runtime/logging.h"
+#include "ragwortpin/targets/departure_record.h"
 
 #include <array>
 #include <limits>
@@ -209,7 +210,7 @@
                    observeAbandoned("peers", metrics),
                    m_memory}
 {
-    m_announcementHistory.awaitsRestore = static_cast<bool>(m_services.storeDeparture);
+    m_announcementHistory.awaitsRestore = static_cast<bool>(m_services.storeDepartures);
     metrics.gauge("ragwortpin_mailbox_rejected", [this] {
         return static_cast<double>(fromControl.rejected() + fromOperators.rejected() + fromStore.rejected() + fromClaims.rejected());
     });
@@ -368,12 +369,11 @@
     effective.connections = effective.connections > 0 ? effective.connections : connectionLimit(effective.service);
     m_target.announce(effective, monotonicNow());
     if (announcement.draining) {
-        if (!m_targetDraining) {
-            storeDeparture(false);
-        }
+        storeDrain(*m_announcementHistory.latest);
         startDraining("announced");
         return;
     }
+    m_storedDrain.reset();
     if (m_targetDraining && !m_shutdown.startedAt) {
         m_targetDraining = false;
         m_target.stopDraining();
@@ -394,17 +394,38 @@
 void data_plane::handleDeparture(const target_departure &departure)
 {
     if (recordDeparture(m_announcementHistory, departure)) {
-        storeDeparture(true);
+        const auto &latest = *m_announcementHistory.latest;
+        storeDeparture({latest.incarnation, latest.startedAt, latest.sequence, true});
         startDraining("departed");
+    } else {
+        storeDeparture({departure.incarnation, departure.receivedAt, 0, true});
+    }
+}
+
+/** Stores that the target drains, once for each drain: the sequence number of the first announcement is above all from before it. */
+void data_plane::storeDrain(const target_announcement &announcement)
+{
+    const target_start start{announcement.incarnation, announcement.startedAt};
+    if (m_storedDrain != start) {
+        m_storedDrain = start;
+        storeDeparture({announcement.incarnation, announcement.startedAt, announcement.sequence, false});
+    }
+}
+
+/** Stores that a start of the target drains or has ended, so that this node does not use it again after a restart. */
+void data_plane::storeDeparture(const departure_record &record)
+{
+    if (m_services.storeDepartures) {
+        m_unsentDepartures.records = mergeDepartures(std::move(m_unsentDepartures.records), {record});
+        sendDepartures();
     }
 }
 
-/** Stores that the announced target drains or has ended, so that this node does not use it again after a restart. */
-void data_plane::storeDeparture(bool hasEnded)
+/** Passes on what the store thread was not told of yet. If its mailbox is full, the next timer does. */
+void data_plane::sendDepartures()
 {
-    const auto &latest = m_announcementHistory.latest;
-    if (m_services.storeDeparture && latest) {
-        m_services.storeDeparture({latest->incarnation, latest->startedAt, latest->sequence, hasEnded});
+    if (m_unsentDepartures != departure_update{} && m_services.storeDepartures(m_unsentDepartures)) {
+        m_unsentDepartures = {};
     }
 }
 
@@ -412,18 +433,18 @@
 {
     if (const auto *reply = std::get_if<rate_reply_event>(&event)) {
         m_rates.receiveReply(reply->token, reply->reply);
-    } else if (const auto *departure = std::get_if<departure_event>(&event)) {
-        restore(departure->record);
+    } else if (const auto *stored = std::get_if<restore_event>(&event)) {
+        restore(*stored);
     }
 }
 
-/** Applies the departure that was stored before this process started, and the announcement that waited for it. */
-void data_plane::restore(const std::optional<departure_record> &record)
+/** Applies the departures that were stored before this process started, and the announcement that waited for them. */
+void data_plane::restore(const restore_event &event)
 {
-    const auto deferred = restoreDeparture(m_announcementHistory, record, monotonicNow());
-    if (record) {
+    const auto deferred = restoreDepartures(m_announcementHistory, event.records, monotonicNow());
+    for (const auto &record : event.records) {
         logEvent(
-            log_level::Info, "departure_restored", {{"incarnation", record->incarnation}, {"ended", record->hasEnded ? "true" : "false"}});
+            log_level::Info, "departure_restored", {{"incarnation", record.incarnation}, {"ended", record.hasEnded ? "true" : "false"}});
     }
     if (isLatestDeparted(m_announcementHistory, monotonicNow())) {
         startDraining("restored");
@@ -481,6 +502,7 @@
     }
     m_timers.subscribe(now, StateUpdateInterval, [this](time_point at) {
         updateOwnRecord();
+        sendDepartures();
         m_once.wakePendingCalls();
         advanceShutdown(at);
     });
--- a/src/ragwortpin/node/data_plane.h
+++ b/src/ragwortpin/node/data_plane.h
@@ -38,8 +38,11 @@
     /** Announces the node's own membership record. Returns false if the caller has to retry. */
     std::function<bool(const instance_record &)> announceOwnRecord;
     rate_driver_outputs rates;
-    /** Stores that the target leaves. Empty if departures are not stored. */
-    std::function<void(departure_record)> storeDeparture{};
+    /**
+     * Stores departures of the target. Returns false, and leaves the argument as it is, if the caller has to retry. Empty if departures
+     * are not stored.
+     */
+    std::function<bool(departure_update &)> storeDepartures{};
     digest_sender sendDigests;
     claim_sender claims;
     span_sink spans;
@@ -106,8 +109,10 @@
     void handleRefutation(const std::string &incarnation);
     void handleDeparture(const target_departure &departure);
     void handle(const store_event &event);
-    void restore(const std::optional<departure_record> &record);
-    void storeDeparture(bool hasEnded);
+    void restore(const restore_event &event);
+    void storeDrain(const target_announcement &announcement);
+    void storeDeparture(const departure_record &record);
+    void sendDepartures();
     void startDraining(std::string_view reason);
     [[nodiscard]] std::uint32_t connectionLimit(const std::string &service) const;
     [[nodiscard]] std::string ownService() const;
@@ -153,6 +158,10 @@
     std::optional<instance_record> m_announcedRecord;
     target_assignment m_assignment{m_settings.target};
     announcement_history m_announcementHistory;
+    /** Start whose drain was passed on to be stored. */
+    std::optional<target_start> m_storedDrain;
+    /** Departures that the store thread was not told of yet. */
+    departure_update m_unsentDepartures;
     bool m_targetDraining{false};
     shutdown_progress m_shutdown;
 };
--- a/src/ragwortpin/node/events.h
+++ b/src/ragwortpin/node/events.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace ragwortpin {
 
@@ -56,10 +57,10 @@
 /** Events that the admin thread sends to the data thread. */
 using operator_event = std::variant<std::monostate, target_assignment, target_announcement, target_departure, drain_event, shutdown_event>;
 
-/** What the store says of the target's last departure before this process started. */
-struct departure_event
+/** What the store says of the target's departures before this process started. */
+struct restore_event
 {
-    std::optional<departure_record> record;
+    std::vector<departure_record> records;
 };
 
 /** Reply to a store call of the workspace rate limiter. */
@@ -70,10 +71,18 @@
 };
 
 /** Events that the store thread sends to the data thread. */
-using store_event = std::variant<std::monostate, rate_reply_event, departure_event>;
+using store_event = std::variant<std::monostate, rate_reply_event, restore_event>;
+
+/** Departures to store, oldest first. */
+struct departure_update
+{
+    std::vector<departure_record> records;
+
+    bool operator==(const departure_update &) const = default;
+};
 
 /** Commands that the data thread sends to the store thread. */
-using store_command = std::variant<std::monostate, rights_store_call, departure_record>;
+using store_command = std::variant<std::monostate, rights_store_call, departure_update>;
 
 } // namespace ragwortpin
 
--- a/src/ragwortpin/node/node.cpp
+++ b/src/ragwortpin/node/node.cpp
@@ -173,11 +173,8 @@
             }
         };
         if (!m_settings.discoveryPrefix.empty()) {
-            services.storeDeparture = [this](departure_record record) {
-                if (!m_store.fromData.trySend(std::move(record))) {
-                    logEvent(
-                        log_level::Warning, "departure_not_stored", {{"remedy", "none needed unless this process is started again soon"}});
-                }
+            services.storeDepartures = [this](departure_update &update) {
+                return m_store.fromData.trySend(std::move(update));
             };
         }
         services.claims = [this](claim_command &&command) {
@@ -213,8 +210,8 @@
                             logEvent(log_level::Warning, "store_reply_dropped");
                         }
                     },
-                .handleDeparture =
-                    [this](departure_event event) {
+                .handleRestore =
+                    [this](restore_event event) {
                         return m_data.fromStore.trySend(std::move(event));
                     },
                 .handleDiscovery =
--- a/src/ragwortpin/node/store_duty.cpp
+++ b/src/ragwortpin/node/store_duty.cpp
@@ -5,7 +5,6 @@
 #include "ragwortpin/runtime/guard.h"
 #include "ragwortpin/runtime/logging.h"
 #include "ragwortpin/store/error.h"
-#include "ragwortpin/targets/departure_record.h"
 
 #include <utility>
 
@@ -15,7 +14,7 @@
 
 constexpr std::size_t HeadReadCapacity{8};
 constexpr std::size_t RateCallCapacity{64};
-/** Pause before a departure is read or stored again after a failure. */
+/** Pause before departures are read or stored again after a failure. */
 constexpr milliseconds DepartureRetryInterval{500};
 
 } // namespace
@@ -92,7 +91,7 @@
     }
     if (!m_settings.departureKey.empty()) {
         boost::asio::post(m_context, [this] {
-            syncDeparture();
+            syncDepartures();
         });
     }
     m_thread = std::thread{[this] {
@@ -112,41 +111,82 @@
 {
     if (const auto *call = std::get_if<rights_store_call>(&command)) {
         m_outputs.handleRateReply({call->token, m_call(call->request)});
-    } else if (const auto *departure = std::get_if<departure_record>(&command)) {
-        m_unstoredDeparture = *departure;
-        syncDeparture();
+    } else if (const auto *update = std::get_if<departure_update>(&command)) {
+        auto &unstored = m_unstoredDepartures;
+        unstored.records = mergeDepartures(std::move(unstored.records), update->records);
+        syncDepartures();
     }
 }
 
-/** Reads the stored departure once, then stores the departure that is not stored yet. After a failure, tries again until it succeeds. */
-void store_duty::syncDeparture()
+/** Reads the stored departures once, then stores those that are not stored yet. After a failure, tries again until it succeeds. */
+void store_duty::syncDepartures()
 {
-    if (m_settings.departureKey.empty()) {
+    if (restoreDepartures() && storeDepartures()) {
         return;
     }
-    if (!m_isDepartureRead) {
-        const auto reading = readDeparture(m_call, m_settings.departureKey);
-        if (reading.isMalformed) {
-            logEvent(log_level::Warning, "stored_departure_malformed", {{"key", m_settings.departureKey}});
-        }
-        m_isDepartureRead = !reading.error && m_outputs.handleDeparture({reading.record});
-    }
-    if (m_isDepartureRead && m_unstoredDeparture && !writeDeparture(m_call, m_settings.departureKey, *m_unstoredDeparture)) {
-        m_unstoredDeparture.reset();
-    }
-    if (m_isDepartureRead && !m_unstoredDeparture) {
-        return;
+    if (!m_unstoredDepartures.records.empty()) {
+        logForeign(log_level::Warning, "departure_not_stored", {{"remedy", "none needed; it is stored as soon as the store answers"}});
     }
     m_departureTimer.expires_after(DepartureRetryInterval);
     m_departureTimer.async_wait([this](boost::system::error_code error) {
         if (!error) {
             runGuarded("departures", [this] {
-                syncDeparture();
+                syncDepartures();
             });
         }
     });
 }
 
+/** Reads the stored departures unless they are known. Returns whether they are. */
+bool store_duty::loadDepartures()
+{
+    if (m_storedDepartures) {
+        return true;
+    }
+    auto reading = readDepartures(m_call, m_settings.departureKey);
+    if (reading.isMalformed) {
+        logEvent(log_level::Warning, "stored_departure_malformed", {{"key", m_settings.departureKey}});
+    }
+    if (!reading.error) {
+        m_storedDepartures = std::move(reading);
+    }
+    return m_storedDepartures.has_value();
+}
+
+/** Passes on what was stored before this process started. Returns whether that was done. */
+bool store_duty::restoreDepartures()
+{
+    if (!m_areDeparturesRestored) {
+        m_areDeparturesRestored = loadDepartures() && m_outputs.handleRestore({m_storedDepartures->records});
+    }
+    return m_areDeparturesRestored;
+}
+
+/** Stores the departures that are not stored yet. Returns whether none is left. */
+bool store_duty::storeDepartures()
+{
+    auto &unstored = m_unstoredDepartures.records;
+    if (unstored.empty()) {
+        return true;
+    }
+    if (!loadDepartures()) {
+        return false;
+    }
+    auto &stored = *m_storedDepartures;
+    auto merged = mergeDepartures(stored.records, unstored);
+    if (merged != stored.records) {
+        const auto written = writeDepartures(m_call, m_settings.departureKey, merged, stored.revision);
+        if (!written.revision) {
+            // The write may have taken effect, or may do so later.
+            m_storedDepartures.reset();
+            return false;
+        }
+        stored = {{}, std::move(merged), *written.revision, false};
+    }
+    unstored.clear();
+    return true;
+}
+
 void store_duty::scheduleDiscovery(duration delay)
 {
     m_discoveryTimer.expires_after(delay);
--- a/src/ragwortpin/node/store_duty.h
+++ b/src/ragwortpin/node/store_duty.h
@@ -7,6 +7,7 @@
 #include "ragwortpin/runtime/metrics.h"
 #include "ragwortpin/spread/state.h"
 #include "ragwortpin/store/store.h"
+#include "ragwortpin/targets/departure_record.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -33,8 +34,8 @@
 {
     std::function<void(head_reply)> handleHeadReply;
     std::function<void(rate_reply_event)> handleRateReply;
-    /** Called once, with the departure that was stored before this process started. Returns false if it has to be called again. */
-    std::function<bool(departure_event)> handleDeparture;
+    /** Called once, with the departures that were stored before this process started. Returns false if it has to be called again. */
+    std::function<bool(restore_event)> handleRestore;
     /** Called after each discovery run. */
     std::function<void(const discovery_result &)> handleDiscovery;
 };
@@ -85,7 +86,10 @@
     void scheduleDiscovery(duration delay);
     void runDiscovery();
     void runCommand(const store_command &command);
-    void syncDeparture();
+    void syncDepartures();
+    [[nodiscard]] bool loadDepartures();
+    [[nodiscard]] bool restoreDepartures();
+    [[nodiscard]] bool storeDepartures();
 
     boost::asio::io_context m_context{1};
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_workGuard;
@@ -96,9 +100,11 @@
     store_duty_settings m_settings;
     std::mt19937_64 m_random;
     unsigned m_successfulDiscoveries{0};
-    bool m_isDepartureRead{false};
-    /** Departure that is not stored yet. */
-    std::optional<departure_record> m_unstoredDeparture;
+    bool m_areDeparturesRestored{false};
+    /** What the store holds; nothing if that is not known, as before the first read and after a write without a response. */
+    std::optional<departure_reading> m_storedDepartures;
+    /** Departures that are not stored yet. */
+    departure_update m_unstoredDepartures;
     std::atomic<std::int64_t> m_lastRevision{0};
     store_duty_outputs m_outputs;
     counter &m_calls;
--- a/src/ragwortpin/targets/announcement.cpp
+++ b/src/ragwortpin/targets/announcement.cpp
@@ -21,6 +21,19 @@
     values.push_back(std::move(value));
 }
 
+/** Records that a start has departed. The notice may be repeated, and then takes no further place. */
+void appendDeparted(std::vector<target_start> &departed, target_start start)
+{
+    const auto known = std::find_if(departed.begin(), departed.end(), [&start](const target_start &other) {
+        return other.incarnation == start.incarnation;
+    });
+    if (known == departed.end()) {
+        appendBounded(departed, std::move(start));
+    } else {
+        known->startedAt = std::max(known->startedAt, start.startedAt);
+    }
+}
+
 bool isSameStart(const target_announcement &first, const target_announcement &second) noexcept
 {
     return first.startedAt == second.startedAt && first.incarnation == second.incarnation;
@@ -38,16 +51,19 @@
     return hasDeparted(history.departed, announcement) || hasDeparted(history.departedUnannounced, announcement);
 }
 
-/** Returns whether the restored departure says that the start of an announcement had left when the announcement was sent. */
+/** Returns whether the restored departures say that the start of an announcement had left when the announcement was sent. */
 bool isBeforeRestored(const announcement_history &history, const target_announcement &announcement, time_point now)
 {
-    const auto &restored = history.restored;
-    if (!restored || now - history.restoredAt >= RestoredPeriod || announcement.incarnation != restored->incarnation
-        || announcement.startedAt > restored->startedAt) {
+    if (now - history.restoredAt >= RestoredPeriod) {
         return false;
     }
-    return restored->hasEnded
-        || (!announcement.draining && announcement.startedAt == restored->startedAt && announcement.sequence <= restored->sequence);
+    return std::any_of(history.restored.begin(), history.restored.end(), [&announcement](const departure_record &restored) {
+        if (announcement.incarnation != restored.incarnation || announcement.startedAt > restored.startedAt) {
+            return false;
+        }
+        return restored.hasEnded || announcement.startedAt < restored.startedAt
+            || (!announcement.draining && announcement.sequence <= restored.sequence);
+    });
 }
 
 bool isConfirmed(const announcement_history &history, const target_announcement &announcement)
@@ -150,19 +166,18 @@
 bool recordDeparture(announcement_history &history, const target_departure &departure)
 {
     if (!history.latest || history.latest->incarnation != departure.incarnation) {
-        appendBounded(history.departedUnannounced, target_start{departure.incarnation, departure.receivedAt});
+        appendDeparted(history.departedUnannounced, target_start{departure.incarnation, departure.receivedAt});
         return false;
     }
-    appendBounded(history.departed, target_start{departure.incarnation, history.latest->startedAt});
+    appendDeparted(history.departed, target_start{departure.incarnation, history.latest->startedAt});
     return true;
 }
 
-std::optional<target_announcement>
-restoreDeparture(announcement_history &history, const std::optional<departure_record> &record, time_point now)
+std::optional<target_announcement> restoreDepartures(announcement_history &history, std::vector<departure_record> records, time_point now)
 {
     history.restoredAt = now;
     history.awaitsRestore = false;
-    history.restored = record;
+    history.restored = std::move(records);
     return std::exchange(history.deferred, std::nullopt);
 }
 
--- a/src/ragwortpin/targets/announcement.h
+++ b/src/ragwortpin/targets/announcement.h
@@ -50,8 +50,9 @@
 struct departure_record
 {
     std::string incarnation;
+    /** Wall clock at the start, or an upper bound of it, in milliseconds since the Unix epoch. */
     std::uint64_t startedAt{0};
-    /** Sequence number of the latest announcement. */
+    /** Sequence number of the latest announcement; 0 if the start was never announced. */
     std::uint64_t sequence{0};
     /** Whether the start has departed; otherwise it drains. */
     bool hasEnded{false};
@@ -102,8 +103,8 @@
     /** Starts that departed without an announcement. Kept apart, since anybody can name any number of them. */
     std::vector<target_start> departedUnannounced;
     std::vector<refuted_start> refuted;
-    /** Departure that was recorded before this process started. */
-    std::optional<departure_record> restored;
+    /** Departures that were recorded before this process started. */
+    std::vector<departure_record> restored;
     time_point restoredAt{};
     /** Whether it is still unknown what was recorded before this process started. */
     bool awaitsRestore{false};
@@ -125,7 +126,7 @@
 
 /** Time without a current announcement after which a rival that goes on announcing itself takes over. Several heartbeat intervals. */
 inline constexpr seconds AnnouncementSilence{6};
-/** Time for which a restored departure counts. A target that still announces itself then is there, whatever was recorded. */
+/** Time for which restored departures count. A target that still announces itself then is there, whatever was recorded. */
 inline constexpr seconds RestoredPeriod{30};
 /** Time for which announcements of a refuted start are ignored. */
 inline constexpr seconds RefutationPeriod{10};
@@ -149,13 +150,12 @@
 [[nodiscard]] bool recordDeparture(announcement_history &history, const target_departure &departure);
 
 /**
- * Adds the departure that was recorded before this process started, if there was one. Returns the deferred announcement, which has to be
- * recorded again.
+ * Adds the departures that were recorded before this process started. Returns the deferred announcement, which has to be recorded again.
  */
 [[nodiscard]] std::optional<target_announcement>
-restoreDeparture(announcement_history &history, const std::optional<departure_record> &record, time_point now);
+restoreDepartures(announcement_history &history, std::vector<departure_record> records, time_point now);
 
-/** Returns whether the start that sent the latest announcement has left according to the restored departure. */
+/** Returns whether the start that sent the latest announcement has left according to the restored departures. */
 [[nodiscard]] bool isLatestDeparted(const announcement_history &history, time_point now);
 
 /**
--- a/tests/runtime/mailbox_test.cpp
+++ b/tests/runtime/mailbox_test.cpp
@@ -125,9 +125,15 @@
     CHECK(std::holds_alternative<shutdown_event>(events[5]));
 
     const departure_record record{"clips-1", 1'800'000'000'000, 3, true};
-    const auto storeEvents = deliver<store_event>(rate_reply_event{9, {}}, departure_event{record}, departure_event{});
+    const auto storeEvents = deliver<store_event>(rate_reply_event{9, {}}, restore_event{{record}}, restore_event{});
     REQUIRE(storeEvents.size() == 3);
     CHECK(std::get<rate_reply_event>(storeEvents[0]).token == 9);
-    CHECK(std::get<departure_event>(storeEvents[1]).record == record);
-    CHECK_FALSE(std::get<departure_event>(storeEvents[2]).record);
+    CHECK(std::get<restore_event>(storeEvents[1]).records == std::vector<departure_record>{record});
+    CHECK(std::get<restore_event>(storeEvents[2]).records.empty());
+
+    const departure_update update{{record, record}};
+    const auto commands = deliver<store_command>(update, departure_update{});
+    REQUIRE(commands.size() == 2);
+    CHECK(std::get<departure_update>(commands[0]) == update);
+    CHECK(std::get<departure_update>(commands[1]) == departure_update{});
 }
--- a/tests/system/departure_test.cpp
+++ b/tests/system/departure_test.cpp
@@ -12,13 +12,48 @@
 
 namespace {
 
+constexpr unsigned Acknowledged{200};
+
+/** How a target says that it leaves. */
+enum class leave_kind : unsigned char {
+    Deregisters,
+    Drains,
+    /** Deregisters at a process of the node that it has not announced itself to. */
+    DeregistersUnannounced,
+};
+
 struct departure_case
 {
     std::string name;
-    bool isDeregistered;
+    leave_kind kind;
     std::string net;
 };
 
+void endNode(machine_process &machine, int signal)
+{
+    machine.host.sendSignal("node", signal);
+    static_cast<void>(machine.host.waitForExit("node"));
+}
+
+void startNode(machine_process &machine)
+{
+    machine.startNode();
+    machine.host.waitUntil("the node is ready again", [&machine] {
+        return machine.host.request(http::verb::get, ReadyPort, "/-/ready", {}).status == 200;
+    });
+}
+
+/** Sends the message with which the target leaves and returns the status of the response. */
+unsigned leave(machine_process &machine, leave_kind kind)
+{
+    auto heartbeat = machine.nextHeartbeat();
+    if (kind == leave_kind::Drains) {
+        heartbeat.state = "draining";
+        return machine.announce(heartbeat);
+    }
+    return machine.host.request(http::verb::post, ControlPort, "/-/Instances.Deregister/" + heartbeat.id, {}).status;
+}
+
 /** Returns how many of ten requests ran at the target that has left. */
 std::size_t countRuns(fleet_fixture &fleet, const std::string &prefix)
 {
@@ -34,26 +69,24 @@
 
 TEST_CASE("a delayed heartbeat does not bring back a target that left before its node was restarted")
 {
-    const std::vector<departure_case> cases{{"deregistered", true, "127.0.35."}, {"draining", false, "127.0.36."}};
+    const std::vector<departure_case> cases{{"deregistered", leave_kind::Deregisters, "127.0.35."},
+                                            {"draining", leave_kind::Drains, "127.0.36."},
+                                            {"deregistered unannounced", leave_kind::DeregistersUnannounced, "127.0.38."}};
     for (const auto &entry : cases) {
         CAPTURE(entry.name);
         fleet_fixture fleet{entry.net};
         auto &host = fleet.back.host;
         const auto delayed = fleet.back.nextHeartbeat();
-        if (entry.isDeregistered) {
-            REQUIRE(host.request(http::verb::post, ControlPort, "/-/Instances.Deregister/" + delayed.id, {}).status == 200);
-        } else {
-            auto draining = fleet.back.nextHeartbeat();
-            draining.state = "draining";
-            REQUIRE(fleet.back.announce(draining) == 200);
+        if (entry.kind == leave_kind::DeregistersUnannounced) {
+            endNode(fleet.back, SIGKILL);
+            startNode(fleet.back);
         }
-        std::this_thread::sleep_for(milliseconds{300});
-        host.sendSignal("node", SIGKILL);
-        static_cast<void>(host.waitForExit("node"));
-        fleet.back.startNode();
-        host.waitUntil("the node is ready again", [&host] {
-            return host.request(http::verb::get, ReadyPort, "/-/ready", {}).status == 200;
+        host.waitUntil("the leaving is acknowledged", [&] {
+            return leave(fleet.back, entry.kind) == Acknowledged;
         });
+        std::this_thread::sleep_for(milliseconds{300});
+        endNode(fleet.back, SIGKILL);
+        startNode(fleet.back);
         CHECK(fleet.back.announce(delayed) == 200);
         std::this_thread::sleep_for(milliseconds{1000});
         CHECK(countRuns(fleet, "delayed-") == 0);
--- a/tests/targets/announcement_test.cpp
+++ b/tests/targets/announcement_test.cpp
@@ -146,6 +146,21 @@
     CHECK(recordAnnouncement(history, makeAnnouncement("b", 200, 6), time_point{} + seconds{60}) == announcement_verdict::Stale);
 }
 
+TEST_CASE("a departure that is reported again does not make other departures forgotten")
+{
+    announcement_history history;
+    REQUIRE(recordAnnouncement(history, makeAnnouncement("a", 100, 5), time_point{}) == announcement_verdict::Accepted);
+    REQUIRE(recordDeparture(history, {"a", 150}));
+    REQUIRE(recordAnnouncement(history, makeAnnouncement("b", 200, 5), time_point{}) == announcement_verdict::Accepted);
+    for (unsigned index{0}; index < 1000; ++index) {
+        CHECK(recordDeparture(history, {"b", 250 + index}));
+        CHECK_FALSE(recordDeparture(history, {"c", 250 + index}));
+    }
+    CHECK(history.departed.size() == 2);
+    CHECK(history.departedUnannounced == std::vector<target_start>{{"c", 1249}});
+    CHECK(recordAnnouncement(history, makeAnnouncement("a", 100, 6), time_point{} + seconds{60}) == announcement_verdict::Stale);
+}
+
 TEST_CASE("a target that goes on announcing itself is the latest again after any messages of other senders")
 {
     rc::prop("recovery", [] {
@@ -222,7 +237,7 @@
     struct restore_case
     {
         std::string name;
-        std::optional<departure_record> stored;
+        std::vector<departure_record> stored;
         target_announcement announcement;
         announcement_verdict verdict;
     };
@@ -231,14 +246,17 @@
     auto draining = makeAnnouncement("b", 200, 4);
     draining.draining = true;
     const std::vector<restore_case> cases{
-        {"nothing stored", std::nullopt, makeAnnouncement("b", 200, 1), announcement_verdict::Accepted},
-        {"the start that ended", ended, makeAnnouncement("b", 200, 6), announcement_verdict::Stale},
-        {"an earlier start of it", ended, makeAnnouncement("b", 100, 9), announcement_verdict::Stale},
-        {"a later start of it", ended, makeAnnouncement("b", 201, 1), announcement_verdict::Accepted},
-        {"another target", ended, makeAnnouncement("c", 100, 1), announcement_verdict::Accepted},
-        {"sent before it drained", drains, makeAnnouncement("b", 200, 4), announcement_verdict::Stale},
-        {"sent after it drained", drains, makeAnnouncement("b", 200, 6), announcement_verdict::Accepted},
-        {"delayed notice that it drains", drains, draining, announcement_verdict::Accepted},
+        {"nothing stored", {}, makeAnnouncement("b", 200, 1), announcement_verdict::Accepted},
+        {"the start that ended", {ended}, makeAnnouncement("b", 200, 6), announcement_verdict::Stale},
+        {"an earlier start of it", {ended}, makeAnnouncement("b", 100, 9), announcement_verdict::Stale},
+        {"a later start of it", {ended}, makeAnnouncement("b", 201, 1), announcement_verdict::Accepted},
+        {"another target", {ended}, makeAnnouncement("c", 100, 1), announcement_verdict::Accepted},
+        {"sent before it drained", {drains}, makeAnnouncement("b", 200, 4), announcement_verdict::Stale},
+        {"sent after it drained", {drains}, makeAnnouncement("b", 200, 6), announcement_verdict::Accepted},
+        {"delayed notice that it drains", {drains}, draining, announcement_verdict::Accepted},
+        {"an earlier start of the one that drained", {drains}, makeAnnouncement("b", 199, 9), announcement_verdict::Stale},
+        {"the first of two that left", {ended, {"c", 300, 1, true}}, makeAnnouncement("b", 200, 6), announcement_verdict::Stale},
+        {"the second of two that left", {ended, {"c", 300, 1, true}}, makeAnnouncement("c", 300, 6), announcement_verdict::Stale},
     };
     for (const auto &entry : cases) {
         CAPTURE(entry.name);
@@ -249,7 +267,7 @@
             continue;
         }
         CHECK(recordAnnouncement(history, entry.announcement, time_point{}) == announcement_verdict::Deferred);
-        const auto deferred = restoreDeparture(history, entry.stored, time_point{});
+        const auto deferred = restoreDepartures(history, entry.stored, time_point{});
         REQUIRE(deferred == entry.announcement);
         CHECK(recordAnnouncement(history, *deferred, time_point{}) == entry.verdict);
     }
@@ -267,7 +285,7 @@
         history.awaitsRestore = true;
         REQUIRE(recordAnnouncement(history, makeAnnouncement("b", 200, 5), time_point{}) == announcement_verdict::Deferred);
         CHECK(recordAnnouncement(history, announcement, time_point{}) == verdict);
-        static_cast<void>(restoreDeparture(history, departure_record{"b", 200, 9, true}, time_point{}));
+        static_cast<void>(restoreDepartures(history, {departure_record{"b", 200, 9, true}}, time_point{}));
         CHECK(isLatestDeparted(history, time_point{}) == (verdict == announcement_verdict::Accepted));
     }
 }
@@ -277,7 +295,7 @@
     for (const bool hasEnded : {true, false}) {
         CAPTURE(hasEnded);
         announcement_history history;
-        static_cast<void>(restoreDeparture(history, departure_record{"b", 200, 1'000'000, hasEnded}, time_point{}));
+        static_cast<void>(restoreDepartures(history, {departure_record{"b", 200, 1'000'000, hasEnded}}, time_point{}));
         const auto announced = makeAnnouncement("b", 200, 7);
         CHECK(recordAnnouncement(history, announced, time_point{RestoredPeriod} - milliseconds{1}) == announcement_verdict::Stale);
         CHECK(recordAnnouncement(history, announced, time_point{RestoredPeriod}) == announcement_verdict::Accepted);
