Acknowledge that a target leaves only once the store has recorded it

Cause: the node acknowledged a departure, or a drain, as soon as it was queued for the data thread, and recorded it in the store afterwards, with retries that end with the process. What the promise rests on was in one process only.

Not a matter of how the node ends: it is the same after SIGTERM and after SIGKILL.

Change: the response to a draining heartbeat or a deregistration waits until the store has recorded everything that the target said before it, at most 750 ms, as a target waits a second. After that it is 503, departure_not_stored yet, and the target sends the message again as it does after any failure. The node stops sending requests to the target at once, as before, acknowledged or not. Numbered confirmations follow the messages through the same queues, so that one settles all before it. A deregistration under an id that no heartbeat may have is 400 and changes nothing. Counter ragwortpin_departures_unconfirmed_total, lines departure_unconfirmed and departure_not_stored.

Why this works: a 200 now says that the next process will read the departure.

--- a/src/ragwortpin/node/data_plane.cpp
+++ b/src/ragwortpin/node/data_plane.cpp
@@ -299,6 +299,9 @@
         handleAnnouncement(*announcement);
     } else if (const auto *departure = std::get_if<target_departure>(&event)) {
         handleDeparture(*departure);
+    } else if (const auto *confirm = std::get_if<confirm_departures_event>(&event)) {
+        m_unsentDepartures.confirmation = confirm->number;
+        sendDepartures();
     } else if (std::holds_alternative<drain_event>(event)) {
         startDraining("drain");
     } else if (std::holds_alternative<shutdown_event>(event)) {
--- a/src/ragwortpin/node/events.h
+++ b/src/ragwortpin/node/events.h
@@ -54,8 +54,20 @@
 struct shutdown_event
 { };
 
+/** Asks for a confirmation, under the given number, that every departure reported before this event is stored. */
+struct confirm_departures_event
+{
+    std::uint64_t number{0};
+};
+
 /** Events that the admin thread sends to the data thread. */
-using operator_event = std::variant<std::monostate, target_assignment, target_announcement, target_departure, drain_event, shutdown_event>;
+using operator_event = std::variant<std::monostate,
+                                    target_assignment,
+                                    target_announcement,
+                                    target_departure,
+                                    confirm_departures_event,
+                                    drain_event,
+                                    shutdown_event>;
 
 /** What the store says of the target's departures before this process started. */
 struct restore_event
@@ -73,10 +85,12 @@
 /** Events that the store thread sends to the data thread. */
 using store_event = std::variant<std::monostate, rate_reply_event, restore_event>;
 
-/** Departures to store, oldest first. */
+/** Departures to store, oldest first, and the newest confirmation that waits for them and all earlier ones. */
 struct departure_update
 {
     std::vector<departure_record> records;
+    /** Number of the confirmation; 0 for none. */
+    std::uint64_t confirmation{0};
 
     bool operator==(const departure_update &) const = default;
 };
--- a/src/ragwortpin/node/node.cpp
+++ b/src/ragwortpin/node/node.cpp
@@ -3,6 +3,7 @@
 #include "ragwortpin/config/check.h"
 #include "ragwortpin/config/serialise.h"
 #include "ragwortpin/node/claims_duty.h"
+#include "ragwortpin/node/confirmation_queue.h"
 #include "ragwortpin/node/data_plane.h"
 #include "ragwortpin/node/part_settings.h"
 #include "ragwortpin/node/store_duty.h"
@@ -31,6 +32,8 @@
 constexpr seconds SettingsCheckInterval{1};
 /** Shortest interval between two checks of the settings file that announcements cause. */
 constexpr milliseconds MinSettingsCheckInterval{100};
+/** Time for which the response to a target that leaves waits for the store. Targets do not wait for it longer than a second. */
+constexpr milliseconds DepartureConfirmationTimeout{750};
 /** Time for the last announcement, that of the state Gone, to be sent before the threads stop. */
 constexpr milliseconds FinalAnnouncementDelay{300};
 
@@ -214,6 +217,12 @@
                     [this](restore_event event) {
                         return m_data.fromStore.trySend(std::move(event));
                     },
+                .handleDeparturesStored =
+                    [this](std::uint64_t confirmation) {
+                        boost::asio::post(m_adminContext, [this, confirmation] {
+                            m_confirmations.settle(confirmation);
+                        });
+                    },
                 .handleDiscovery =
                     [this](const discovery_result &result) {
                         applyDiscovery(result);
@@ -357,6 +366,10 @@
                     [this](target_departure departure) {
                         return m_data.fromOperators.trySend(std::move(departure));
                     },
+                .confirmDepartures =
+                    [this] {
+                        return confirmDepartures();
+                    },
                 .isReady =
                     [this] {
                         return isReady();
@@ -397,6 +410,25 @@
         return error;
     }
 
+    /** Waits until the departures that were queued before are stored; see admin_callbacks. Called on the admin thread. */
+    boost::asio::awaitable<std::error_code> confirmDepartures()
+    {
+        if (m_settings.discoveryPrefix.empty()) {
+            co_return std::error_code{};
+        }
+        const auto number = m_confirmations.issue();
+        if (!m_data.fromOperators.trySend(confirm_departures_event{number})) {
+            co_return announcement_errc::NodeBusy;
+        }
+        const bool isStored{co_await m_confirmations.wait(number, DepartureConfirmationTimeout)};
+        if (!isStored) {
+            m_unconfirmedDepartures.add();
+            logForeign(log_level::Warning, "departure_unconfirmed", {{"remedy", "none needed; the target sends the message again"}});
+            co_return announcement_errc::DepartureNotStored;
+        }
+        co_return std::error_code{};
+    }
+
     void scheduleSettingsCheck()
     {
         m_settingsTimer.expires_after(SettingsCheckInterval);
@@ -576,6 +608,8 @@
     boost::asio::io_context m_adminContext{1};
     work_guard m_adminWork{m_adminContext.get_executor()};
     boost::asio::steady_timer m_settingsTimer{m_adminContext};
+    confirmation_queue m_confirmations{m_adminContext};
+    counter &m_unconfirmedDepartures{m_metrics.counterFor("ragwortpin_departures_unconfirmed_total")};
     counter &m_refusedAnnouncements{m_metrics.counterFor("ragwortpin_announcements_refused_total")};
     boost::asio::io_context m_telemetryContext{1};
     boost::asio::steady_timer m_spanTimer{m_telemetryContext};
--- a/src/ragwortpin/node/store_duty.cpp
+++ b/src/ragwortpin/node/store_duty.cpp
@@ -6,6 +6,7 @@
 #include "ragwortpin/runtime/logging.h"
 #include "ragwortpin/store/error.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace ragwortpin {
@@ -114,6 +115,7 @@
     } else if (const auto *update = std::get_if<departure_update>(&command)) {
         auto &unstored = m_unstoredDepartures;
         unstored.records = mergeDepartures(std::move(unstored.records), update->records);
+        unstored.confirmation = std::max(unstored.confirmation, update->confirmation);
         syncDepartures();
     }
 }
@@ -122,6 +124,9 @@
 void store_duty::syncDepartures()
 {
     if (restoreDepartures() && storeDepartures()) {
+        if (const auto confirmation = std::exchange(m_unstoredDepartures.confirmation, 0); confirmation > 0) {
+            m_outputs.handleDeparturesStored(confirmation);
+        }
         return;
     }
     if (!m_unstoredDepartures.records.empty()) {
--- a/src/ragwortpin/node/store_duty.h
+++ b/src/ragwortpin/node/store_duty.h
@@ -36,6 +36,8 @@
     std::function<void(rate_reply_event)> handleRateReply;
     /** Called once, with the departures that were stored before this process started. Returns false if it has to be called again. */
     std::function<bool(restore_event)> handleRestore;
+    /** Called with the number of a confirmation once every departure received before it is stored. */
+    std::function<void(std::uint64_t)> handleDeparturesStored;
     /** Called after each discovery run. */
     std::function<void(const discovery_result &)> handleDiscovery;
 };
--- a/src/ragwortpin/operators/admin_server.h
+++ b/src/ragwortpin/operators/admin_server.h
@@ -48,6 +48,11 @@
     /** drain, depart and reportLoad return false when the node cannot queue the message; the target then sends it again. */
     std::function<bool()> drain;
     std::function<bool(target_departure)> depart{};
+    /**
+     * Waits until the drains and departures that were passed on before are stored, so that a restart of the node does not forget them. A
+     * target is told only then that its leaving is known. Returns DepartureNotStored after a timeout; the target then sends it again.
+     */
+    std::function<boost::asio::awaitable<std::error_code>()> confirmDepartures{};
     /** Returns whether the node is ready to receive calls. */
     std::function<bool()> isReady{};
     std::function<bool(target_load)> reportLoad;
--- a/src/ragwortpin/targets/assignment.cpp
+++ b/src/ragwortpin/targets/assignment.cpp
@@ -22,6 +22,8 @@
                                   "the address is not that of the target in the settings of this node; announce the target at the node "
                                   "beside it, or change the target in the settings"},
     error_text<announcement_errc>{announcement_errc::NodeBusy, "the node is busy; send the message again in a second"},
+    error_text<announcement_errc>{announcement_errc::DepartureNotStored,
+                                  "the store has not recorded yet that the target leaves; send the message again in a second"},
 };
 
 const error_category<announcement_errc, AnnouncementErrorTexts.size()> AnnouncementCategory{"ragwortpin.targets", AnnouncementErrorTexts};
@@ -38,6 +40,11 @@
     return {static_cast<int>(error), announcementCategory()};
 }
 
+bool isTemporary(const std::error_code &error) noexcept
+{
+    return error == announcement_errc::NodeBusy || error == announcement_errc::DepartureNotStored;
+}
+
 std::error_code
 checkAnnouncement(const target_announcement &announcement, const target_assignment &assignment, const configuration_index *configuration)
 {
--- a/src/ragwortpin/targets/assignment.h
+++ b/src/ragwortpin/targets/assignment.h
@@ -34,8 +34,13 @@
     OtherAddress,
     /** The node cannot queue the announcement. */
     NodeBusy,
+    /** The node knows that the target leaves, and its next process would not. */
+    DepartureNotStored,
 };
 
+/** Returns whether nothing is wrong with the message, and the target has to send it again. */
+[[nodiscard]] bool isTemporary(const std::error_code &error) noexcept;
+
 /** Returns the error category of announcement_errc. */
 [[nodiscard]] const std::error_category &announcementCategory() noexcept;
 
--- a/tests/platform/announcements_test.cpp
+++ b/tests/platform/announcements_test.cpp
@@ -1,4 +1,4 @@
-#include "announcements.h"
+#include "platform_request.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
@@ -29,6 +29,8 @@
     std::vector<target_departure> departed;
     bool ready{true};
     bool acceptsMessages{true};
+    bool storesDepartures{true};
+    unsigned confirmations{0};
 
     admin_callbacks services()
     {
@@ -44,6 +46,10 @@
             departed.push_back(std::move(departure));
             return acceptsMessages;
         };
+        result.confirmDepartures = [this]() -> boost::asio::awaitable<std::error_code> {
+            ++confirmations;
+            co_return storesDepartures ? std::error_code{} : announcement_errc::DepartureNotStored;
+        };
         result.isReady = [this] {
             return ready;
         };
@@ -54,7 +60,7 @@
     {
         http_request request{method, target, 11};
         request.body() = body;
-        return handlePlatformRequest(request, services()).result_int();
+        return answerPlatformRequest(request, services()).result_int();
     }
 };
 
@@ -135,6 +141,36 @@
     CHECK(node.statusOf(http::verb::post, "/-/Instances.Deregister/i-7f") == 503);
 }
 
+TEST_CASE("that a target leaves is acknowledged only once it is stored")
+{
+    struct leave_case
+    {
+        std::string name;
+        std::string target;
+        std::string body;
+        unsigned confirmations;
+        unsigned statusIfStored;
+        unsigned statusIfNotStored;
+    };
+    const auto draining = replaced(Heartbeat, "\"ready\"", "\"draining\"");
+    const std::string heartbeatPath{"/-/Instances.Heartbeat/i-7f"};
+    const std::vector<leave_case> cases{
+        {"ready", heartbeatPath, Heartbeat, 0, 200, 200},
+        {"draining", heartbeatPath, draining, 1, 200, 503},
+        {"draining, of another service", heartbeatPath, replaced(draining, "clips", "foreign"), 0, 409, 409},
+        {"deregistered", "/-/Instances.Deregister/i-7f", "", 1, 200, 503},
+        {"deregistered under an id that is no name", "/-/Instances.Deregister/i\xed\xa0\x80", "", 0, 400, 400},
+    };
+    for (const auto &entry : cases) {
+        CAPTURE(entry.name);
+        recording_node node;
+        CHECK(node.statusOf(http::verb::post, entry.target, entry.body) == entry.statusIfStored);
+        CHECK(node.confirmations == entry.confirmations);
+        node.storesDepartures = false;
+        CHECK(node.statusOf(http::verb::post, entry.target, entry.body) == entry.statusIfNotStored);
+    }
+}
+
 TEST_CASE("a corrupted heartbeat is decoded or rejected without a crash")
 {
     rc::prop("mutated heartbeats", [] {
--- a/tests/platform/malformed_input_test.cpp
+++ b/tests/platform/malformed_input_test.cpp
@@ -1,6 +1,6 @@
-#include "announcements.h"
 #include "configuration_codec.h"
 #include "json_mutation.h"
+#include "platform_request.h"
 #include "store_codec.h"
 
 #include "ragwortpin/config/lookup.h"
@@ -45,7 +45,10 @@
     };
     http_request request{http::verb::post, "/-/Instances.Heartbeat/i-1", 11};
     request.body() = body;
-    return handlePlatformRequest(request, services);
+    services.confirmDepartures = []() -> boost::asio::awaitable<std::error_code> {
+        co_return std::error_code{};
+    };
+    return answerPlatformRequest(request, services);
 }
 
 } // namespace
--- a/tests/runtime/mailbox_test.cpp
+++ b/tests/runtime/mailbox_test.cpp
@@ -115,14 +115,16 @@
     announcement.service = "clips";
     announcement.slots = 7;
     const target_departure departure{.incarnation = "clips-1"};
-    const auto events = deliver<operator_event>(assignment, target_assignment{}, announcement, departure, drain_event{}, shutdown_event{});
-    REQUIRE(events.size() == 6);
+    const auto events = deliver<operator_event>(
+        assignment, target_assignment{}, announcement, departure, drain_event{}, shutdown_event{}, confirm_departures_event{4});
+    REQUIRE(events.size() == 7);
     CHECK(std::get<target_assignment>(events[0]) == assignment);
     CHECK(std::get<target_assignment>(events[1]) == target_assignment{});
     CHECK(std::get<target_announcement>(events[2]) == announcement);
     CHECK(std::get<target_departure>(events[3]) == departure);
     CHECK(std::holds_alternative<drain_event>(events[4]));
     CHECK(std::holds_alternative<shutdown_event>(events[5]));
+    CHECK(std::get<confirm_departures_event>(events[6]).number == 4);
 
     const departure_record record{"clips-1", 1'800'000'000'000, 3, true};
     const auto storeEvents = deliver<store_event>(rate_reply_event{9, {}}, restore_event{{record}}, restore_event{});
@@ -131,7 +133,7 @@
     CHECK(std::get<restore_event>(storeEvents[1]).records == std::vector<departure_record>{record});
     CHECK(std::get<restore_event>(storeEvents[2]).records.empty());
 
-    const departure_update update{{record, record}};
+    const departure_update update{{record, record}, 5};
     const auto commands = deliver<store_command>(update, departure_update{});
     REQUIRE(commands.size() == 2);
     CHECK(std::get<departure_update>(commands[0]) == update);
--- a/tests/system/departure_test.cpp
+++ b/tests/system/departure_test.cpp
@@ -29,6 +29,14 @@
     std::string net;
 };
 
+struct outage_case
+{
+    std::string name;
+    leave_kind kind;
+    int signal;
+    std::string net;
+};
+
 void endNode(machine_process &machine, int signal)
 {
     machine.host.sendSignal("node", signal);
@@ -98,3 +106,44 @@
         });
     }
 }
+
+// Guards against a leaving that is acknowledged while the store is away and forgotten by the next process of the node.
+TEST_CASE("a leaving that was acknowledged while the store did not answer is not forgotten by a restart of the node")
+{
+    /** Longer than a store call takes to time out and to be repeated. */
+    constexpr milliseconds StoreReadPeriod{3000};
+    const std::vector<outage_case> cases{{"deregisters, stop", leave_kind::Deregisters, SIGTERM, "127.0.74."},
+                                         {"deregisters, kill", leave_kind::Deregisters, SIGKILL, "127.0.75."},
+                                         {"drains, stop", leave_kind::Drains, SIGTERM, "127.0.76."},
+                                         {"drains, kill", leave_kind::Drains, SIGKILL, "127.0.77."},
+                                         {"deregisters unannounced, kill", leave_kind::DeregistersUnannounced, SIGKILL, "127.0.78."}};
+    for (const auto &entry : cases) {
+        CAPTURE(entry.name);
+        fleet_fixture fleet{entry.net};
+        auto &back = fleet.back;
+        const auto delayed = back.nextHeartbeat();
+        if (entry.kind == leave_kind::DeregistersUnannounced) {
+            endNode(back, SIGKILL);
+            startNode(back);
+        }
+        fleet.store.hang();
+        const auto status = leave(back, entry.kind);
+        endNode(back, entry.signal);
+        fleet.store.resume();
+        startNode(back);
+        static_cast<void>(back.announce(delayed));
+        std::this_thread::sleep_for(StoreReadPeriod);
+        const auto runs = countRuns(fleet, "outage-");
+        CAPTURE(status, runs);
+        CHECK((status != Acknowledged || runs == 0));
+
+        back.host.waitUntil("the leaving is acknowledged once the store answers", [&] {
+            return leave(back, entry.kind) == Acknowledged;
+        });
+        endNode(back, SIGKILL);
+        startNode(back);
+        static_cast<void>(back.announce(delayed));
+        std::this_thread::sleep_for(StoreReadPeriod);
+        CHECK(countRuns(fleet, "acknowledged-") == 0);
+    }
+}
--- a/tests/system/platform_fleet.h
+++ b/tests/system/platform_fleet.h
@@ -52,6 +52,12 @@
         m_isHanging = true;
     }
 
+    /** Answers calls again, those that are open within a second. */
+    void resume()
+    {
+        m_isHanging = false;
+    }
+
     /** Writes a key as the operator. */
     void put(const std::string &key, const std::string &value);
 
