Accept no announcements that may be from before a restart while stored departures cannot be read

What callers saw: a target deregistered, was acknowledged, and its departure was stored. Then the store went away and the node was killed and started again. Two heartbeats that the target had sent before it left arrived late, 0.5 s apart, and 10 of 10 requests ran at it after the second, though an acknowledgement binds the node while the store is away, too.

Cause: until the entry is read, a node accepted the second announcement of a start whenever it came. Delayed announcements may come in series.

Ruled out: the acknowledgement; the departure was in the store before the outage.

Change: until the entry is read, announcements of a start are deferred until one arrives five seconds after the first, the longest delay that is allowed for. All that were sent before the restart have arrived by then. The first reading of the entry ends the wait, as before.

Price: a target whose node is started again while the store is away is used 5 to 6.5 s after its first heartbeat instead of 1.5 s, or as soon as the store answers.

--- a/src/ragwortpin/targets/announcement.cpp
+++ b/src/ragwortpin/targets/announcement.cpp
@@ -66,9 +66,20 @@
     });
 }
 
-bool isConfirmed(const announcement_history &history, const target_announcement &announcement)
-{
-    return history.deferred && isSameStart(*history.deferred, announcement) && announcement.sequence > history.deferred->sequence;
+/** Defers an announcement that may be from before a restart of the node. Returns false if it cannot be. */
+bool defer(announcement_history &history, const target_announcement &announcement, time_point now)
+{
+    auto &deferred = history.deferred;
+    if (!deferred || !isSameStart(*deferred, announcement)) {
+        deferred = announcement;
+        history.deferredAt = now;
+        return true;
+    }
+    if (announcement.sequence <= deferred->sequence) {
+        return true;
+    }
+    deferred = announcement;
+    return now - history.deferredAt < MaxAnnouncementDelay;
 }
 
 bool isRefuted(const announcement_history &history, const target_announcement &announcement, time_point now)
@@ -135,8 +146,7 @@
         return announcement_verdict::Stale;
     }
     if (!history.latest) {
-        if (history.awaitsRestore && !announcement.draining && !isConfirmed(history, announcement)) {
-            history.deferred = announcement;
+        if (history.awaitsRestore && !announcement.draining && defer(history, announcement, now)) {
             return announcement_verdict::Deferred;
         }
         history.deferred.reset();
--- a/src/ragwortpin/targets/announcement.h
+++ b/src/ragwortpin/targets/announcement.h
@@ -108,8 +108,9 @@
     time_point restoredAt{};
     /** Whether it is still unknown what was recorded before this process started. */
     bool awaitsRestore{false};
-    /** Announcement that waits until that is known. */
+    /** Latest announcement of the start that waits until that is known, and when its first one was heard. */
     std::optional<target_announcement> deferred;
+    time_point deferredAt{};
 
     bool operator==(const announcement_history &) const = default;
 };
@@ -120,12 +121,14 @@
     Accepted,
     /** The announcement was ignored: it is older than the latest one, or of an incarnation that has departed or was refuted. */
     Stale,
-    /** The announcement is not applied before earlier departures are known, or a later announcement confirms it. */
+    /** The announcement is not applied before earlier departures are known, or later announcements confirm it. */
     Deferred,
 };
 
 /** Time without a current announcement after which a rival that goes on announcing itself takes over. Several heartbeat intervals. */
 inline constexpr seconds AnnouncementSilence{6};
+/** Longest time by which an announcement may be delayed on its way. */
+inline constexpr seconds MaxAnnouncementDelay{5};
 /** Time for which restored departures count. A target that still announces itself then is there, whatever was recorded. */
 inline constexpr seconds RestoredPeriod{30};
 /** Time for which announcements of a refuted start are ignored. */
@@ -140,8 +143,8 @@
  * sender that was ignored and goes on announcing itself is accepted. That a target drains is accepted of the latest start whatever its
  * sequence number, and ignored of any other start while the latest one is heard of.
  *
- * After a restart of the node, a delayed announcement may be of a target that left before. While awaitsRestore is set, the first
- * announcement of a start is therefore deferred; the next one of the same start, with a higher sequence number, is accepted.
+ * After a restart of the node, delayed announcements may be of a target that left before. While awaitsRestore is set, announcements of a
+ * start are therefore deferred until one arrives MaxAnnouncementDelay after the first, which must have been sent after the restart.
  */
 [[nodiscard]] announcement_verdict
 recordAnnouncement(announcement_history &history, const target_announcement &announcement, time_point now);
--- a/tests/system/departure_test.cpp
+++ b/tests/system/departure_test.cpp
@@ -147,3 +147,24 @@
         CHECK(countRuns(fleet, "acknowledged-") == 0);
     }
 }
+
+// Guards against a departure that is stored, and not known to the next process of the node as long as the store is away.
+TEST_CASE("delayed heartbeats do not bring back a target that left while the store cannot be read after a restart of the node")
+{
+    fleet_fixture fleet{"127.0.79."};
+    auto &back = fleet.back;
+    const std::vector<platform_heartbeat> delayed{back.nextHeartbeat(), back.nextHeartbeat(), back.nextHeartbeat()};
+    back.host.waitUntil("the leaving is acknowledged", [&back] {
+        return leave(back, leave_kind::Deregisters) == Acknowledged;
+    });
+    fleet.store.hang();
+    endNode(back, SIGKILL);
+    back.startNode();
+    for (const auto &heartbeat : delayed) {
+        back.host.waitUntil("the heartbeat is taken", [&] {
+            return back.announce(heartbeat) == Acknowledged;
+        });
+        std::this_thread::sleep_for(milliseconds{200});
+        CHECK(countRuns(fleet, "unread-" + std::to_string(heartbeat.sequence) + '-') == 0);
+    }
+}
--- a/tests/targets/announcement_test.cpp
+++ b/tests/targets/announcement_test.cpp
@@ -273,21 +273,51 @@
     }
 }
 
-TEST_CASE("while stored departures cannot be read, a second announcement of a start is accepted, and given up if it had left")
+TEST_CASE("while stored departures cannot be read, a start that goes on announcing itself is accepted, and given up if it had left")
 {
-    const std::vector<std::pair<target_announcement, announcement_verdict>> next{
-        {makeAnnouncement("b", 200, 5), announcement_verdict::Deferred},
-        {makeAnnouncement("c", 200, 6), announcement_verdict::Deferred},
-        {makeAnnouncement("b", 200, 6), announcement_verdict::Accepted},
+    struct unread_case
+    {
+        std::string name;
+        target_announcement next;
+        duration after;
+        announcement_verdict verdict;
+    };
+    const auto announced = makeAnnouncement("b", 200, 5);
+    const std::vector<unread_case> cases{
+        {"the same again", announced, MaxAnnouncementDelay, announcement_verdict::Deferred},
+        {"another start", makeAnnouncement("c", 200, 6), MaxAnnouncementDelay, announcement_verdict::Deferred},
+        {"the next one at once", makeAnnouncement("b", 200, 6), duration::zero(), announcement_verdict::Deferred},
+        {"the next one, which may be delayed too",
+         makeAnnouncement("b", 200, 6),
+         MaxAnnouncementDelay - milliseconds{1},
+         announcement_verdict::Deferred},
+        {"one that cannot be from before the restart", makeAnnouncement("b", 200, 6), MaxAnnouncementDelay, announcement_verdict::Accepted},
     };
-    for (const auto &[announcement, verdict] : next) {
+    for (const auto &entry : cases) {
+        CAPTURE(entry.name);
         announcement_history history;
         history.awaitsRestore = true;
-        REQUIRE(recordAnnouncement(history, makeAnnouncement("b", 200, 5), time_point{}) == announcement_verdict::Deferred);
-        CHECK(recordAnnouncement(history, announcement, time_point{}) == verdict);
-        static_cast<void>(restoreDepartures(history, {departure_record{"b", 200, 9, true}}, time_point{}));
-        CHECK(isLatestDeparted(history, time_point{}) == (verdict == announcement_verdict::Accepted));
+        REQUIRE(recordAnnouncement(history, announced, time_point{}) == announcement_verdict::Deferred);
+        const auto now = time_point{} + entry.after;
+        CHECK(recordAnnouncement(history, entry.next, now) == entry.verdict);
+        static_cast<void>(restoreDepartures(history, {departure_record{"b", 200, 9, true}}, now));
+        CHECK(isLatestDeparted(history, now) == (entry.verdict == announcement_verdict::Accepted));
+    }
+}
+
+TEST_CASE("while stored departures cannot be read, a target is used again once its heartbeats last longer than one can be delayed")
+{
+    constexpr milliseconds Interval{1500};
+    announcement_history history;
+    history.awaitsRestore = true;
+    time_point now{};
+    std::uint64_t sequence{5};
+    while (recordAnnouncement(history, makeAnnouncement("b", 200, sequence), now) == announcement_verdict::Deferred && sequence < 20) {
+        ++sequence;
+        now += Interval;
     }
+    CHECK(now >= time_point{} + MaxAnnouncementDelay);
+    CHECK(now < time_point{} + MaxAnnouncementDelay + Interval);
 }
 
 TEST_CASE("a stored departure does not keep out a target that goes on announcing itself")
