Let a planned stop wait until the store has the departure of the target

Cause: a stop ended as soon as no request was left, 3.2 s after the signal, and dropped the departure that the store thread was still trying to store.

Ruled out: a stop that the store holds up; store calls are interrupted at its end, as before.

Change: what a departure that is not stored means for the stop is the same as rates that are not handed over: the node closes its listeners and ends when the departure is stored, or when nine tenths of the grace are over. Without such a departure nothing changes.

--- a/src/ragwortpin/node/data_plane.cpp
+++ b/src/ragwortpin/node/data_plane.cpp
@@ -432,6 +432,12 @@
     }
 }
 
+/** Returns whether a restart of the node would forget a departure. */
+bool data_plane::holdsDepartures() const
+{
+    return m_services.storeDepartures && (m_unsentDepartures != departure_update{} || m_services.hasUnstoredDepartures());
+}
+
 void data_plane::handle(const store_event &event)
 {
     if (const auto *reply = std::get_if<rate_reply_event>(&event)) {
@@ -605,7 +611,8 @@
     const std::array servers{&m_callerServer, &m_egressServer, &m_peerServer};
     remaining_work work{.requests = requestsInFlight(),
                         .unreadConnections = 0,
-                        .holdsRates = m_settings.rateMethod == rate_method::Slots && !m_rates.isReleased()};
+                        .holdsRates = m_settings.rateMethod == rate_method::Slots && !m_rates.isReleased(),
+                        .holdsDepartures = holdsDepartures()};
     for (const auto *server : servers) {
         work.unreadConnections += server->unreadConnections();
     }
--- a/src/ragwortpin/node/data_plane.h
+++ b/src/ragwortpin/node/data_plane.h
@@ -43,6 +43,8 @@
      * are not stored.
      */
     std::function<bool(departure_update &)> storeDepartures{};
+    /** Returns whether departures that were passed to storeDepartures are not stored yet. Set if that is. */
+    std::function<bool()> hasUnstoredDepartures{};
     digest_sender sendDigests;
     claim_sender claims;
     span_sink spans;
@@ -113,6 +115,7 @@
     void storeDrain(const target_announcement &announcement);
     void storeDeparture(const departure_record &record);
     void sendDepartures();
+    [[nodiscard]] bool holdsDepartures() const;
     void startDraining(std::string_view reason);
     [[nodiscard]] std::uint32_t connectionLimit(const std::string &service) const;
     [[nodiscard]] std::string ownService() const;
--- a/src/ragwortpin/node/node.cpp
+++ b/src/ragwortpin/node/node.cpp
@@ -177,7 +177,10 @@
         };
         if (!m_settings.discoveryPrefix.empty()) {
             services.storeDepartures = [this](departure_update &update) {
-                return m_store.fromData.trySend(std::move(update));
+                return m_store.tryStore(update);
+            };
+            services.hasUnstoredDepartures = [this] {
+                return m_store.hasUnstoredDepartures();
             };
         }
         services.claims = [this](claim_command &&command) {
--- a/src/ragwortpin/node/shutdown.cpp
+++ b/src/ragwortpin/node/shutdown.cpp
@@ -11,7 +11,7 @@
 
 bool isFinished(const shutdown_progress &progress, const remaining_work &work, time_point now)
 {
-    if (work.requests > 0 || work.holdsRates || now == *progress.listenersClosedAt) {
+    if (work.requests > 0 || work.holdsRates || work.holdsDepartures || now == *progress.listenersClosedAt) {
         return false;
     }
     return work.unreadConnections == 0 || now - *progress.listenersClosedAt >= PartialRequestTimeout;
--- a/src/ragwortpin/node/shutdown.h
+++ b/src/ragwortpin/node/shutdown.h
@@ -29,6 +29,8 @@
     std::size_t unreadConnections{0};
     /** Whether the node holds rate slots or loans that other nodes have not taken over. */
     bool holdsRates{false};
+    /** Whether departures of the target are known to this process only. */
+    bool holdsDepartures{false};
 
     bool operator==(const remaining_work &) const = default;
 };
--- a/src/ragwortpin/node/store_duty.cpp
+++ b/src/ragwortpin/node/store_duty.cpp
@@ -108,6 +108,16 @@
     }
 }
 
+bool store_duty::tryStore(departure_update &update)
+{
+    ++m_openDepartureUpdates;
+    const bool isQueued{fromData.trySend(std::move(update))};
+    if (!isQueued) {
+        --m_openDepartureUpdates;
+    }
+    return isQueued;
+}
+
 void store_duty::runCommand(const store_command &command)
 {
     if (const auto *call = std::get_if<rights_store_call>(&command)) {
@@ -116,6 +126,7 @@
         auto &unstored = m_unstoredDepartures;
         unstored.records = mergeDepartures(std::move(unstored.records), update->records);
         unstored.confirmation = std::max(unstored.confirmation, update->confirmation);
+        ++m_receivedDepartureUpdates;
         syncDepartures();
     }
 }
@@ -124,6 +135,7 @@
 void store_duty::syncDepartures()
 {
     if (restoreDepartures() && storeDepartures()) {
+        m_openDepartureUpdates -= std::exchange(m_receivedDepartureUpdates, 0);
         if (const auto confirmation = std::exchange(m_unstoredDepartures.confirmation, 0); confirmation > 0) {
             m_outputs.handleDeparturesStored(confirmation);
         }
--- a/src/ragwortpin/node/store_duty.h
+++ b/src/ragwortpin/node/store_duty.h
@@ -14,6 +14,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <atomic>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -78,6 +79,18 @@
     /** Waits for the store call in progress, then ends the thread. Pending requests are discarded. */
     void stop();
 
+    /**
+     * Queues departures to store. Returns false and leaves the argument as it is if the mailbox is full. Called on the thread that
+     * sends to fromData.
+     */
+    [[nodiscard]] bool tryStore(departure_update &update);
+
+    /** Returns whether departures were queued and are not stored yet. May be called from any thread. */
+    [[nodiscard]] bool hasUnstoredDepartures() const noexcept
+    {
+        return m_openDepartureUpdates.load() > 0;
+    }
+
     /** Returns the store revision of the last successful reply; 0 before the first. May be called from any thread. */
     [[nodiscard]] std::int64_t lastRevision() const noexcept
     {
@@ -107,6 +120,9 @@
     std::optional<departure_reading> m_storedDepartures;
     /** Departures that are not stored yet. */
     departure_update m_unstoredDepartures;
+    /** Updates that m_unstoredDepartures consists of, and those queued and not stored, which include them. */
+    std::size_t m_receivedDepartureUpdates{0};
+    std::atomic<std::size_t> m_openDepartureUpdates{0};
     std::atomic<std::int64_t> m_lastRevision{0};
     store_duty_outputs m_outputs;
     counter &m_calls;
--- a/tests/node/shutdown_test.cpp
+++ b/tests/node/shutdown_test.cpp
@@ -40,6 +40,7 @@
     const remaining_work request{.requests = 1};
     const remaining_work unread{.unreadConnections = 1};
     const remaining_work rates{.holdsRates = true};
+    const remaining_work departures{.holdsDepartures = true};
     const std::vector<shutdown_case> cases{
         {"idle node",
          {{milliseconds{1900}, nothing, shutdown_step::Wait},
@@ -65,6 +66,14 @@
          {{milliseconds{2000}, rates, shutdown_step::CloseListeners},
           {milliseconds{3500}, rates, shutdown_step::CloseIdleConnections},
           {milliseconds{3600}, nothing, shutdown_step::Finish}}},
+        {"departures that are stored late",
+         {{milliseconds{2000}, departures, shutdown_step::CloseListeners},
+          {milliseconds{3500}, departures, shutdown_step::CloseIdleConnections},
+          {milliseconds{3600}, nothing, shutdown_step::Finish}}},
+        {"departures that cannot be stored",
+         {{milliseconds{2000}, departures, shutdown_step::CloseListeners},
+          {milliseconds{4900}, departures, shutdown_step::CloseIdleConnections},
+          {milliseconds{5000}, departures, shutdown_step::Finish}}},
         {"request that does not end",
          {{milliseconds{4900}, request, shutdown_step::Wait}, {milliseconds{5000}, request, shutdown_step::Finish}}},
     };
--- a/tests/node/store_duty_test.cpp
+++ b/tests/node/store_duty_test.cpp
@@ -170,13 +170,17 @@
                          .handleDiscovery = [](const discovery_result &) {}},
                         metrics};
         duty.start();
-        REQUIRE(duty.fromData.trySend(departure_update{{drains}, 1}));
+        departure_update first{{drains}, 1};
+        REQUIRE(duty.tryStore(first));
         REQUIRE(probe.waitFor(1));
+        CHECK_FALSE(duty.hasUnstoredDepartures());
         CHECK(store.records() == std::vector<departure_record>{drains});
-        REQUIRE(duty.fromData.trySend(departure_update{{other}, 2}));
+        departure_update second{{other}, 2};
+        REQUIRE(duty.tryStore(second));
         REQUIRE(probe.waitFor(2));
         CHECK(store.records() == std::vector<departure_record>{drains, other});
-        REQUIRE(duty.fromData.trySend(departure_update{{}, 3}));
+        departure_update third{{}, 3};
+        REQUIRE(duty.tryStore(third));
         CHECK(probe.waitFor(3));
         duty.stop();
     }
--- a/tests/system/departure_test.cpp
+++ b/tests/system/departure_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <csignal>
+#include <future>
 #include <string>
 #include <thread>
 #include <vector>
@@ -168,3 +169,40 @@
         CHECK(countRuns(fleet, "unread-" + std::to_string(heartbeat.sequence) + '-') == 0);
     }
 }
+
+// Guards against a planned restart of the node that forgets a leaving although the store is back before the grace of the stop is over.
+TEST_CASE("a node that is stopped while the store is away waits within its grace until the departure of its target is stored")
+{
+    struct stop_case
+    {
+        std::string name;
+        /** Time from the signal until the store answers again. */
+        milliseconds outage;
+        bool isStored;
+        std::string net;
+    };
+    constexpr milliseconds Grace{6000};
+    constexpr milliseconds StoreReadPeriod{3000};
+    const std::vector<stop_case> cases{{"the store comes back", milliseconds{3400}, true, "127.0.80."},
+                                       {"the store stays away", Grace, false, "127.0.81."}};
+    for (const auto &entry : cases) {
+        CAPTURE(entry.name);
+        fleet_fixture fleet{entry.net};
+        auto &back = fleet.back;
+        const auto delayed = back.nextHeartbeat();
+        fleet.store.hang();
+        CHECK(leave(back, leave_kind::Deregisters) != Acknowledged);
+        const auto stoppedAt = monotonicNow();
+        auto resumed = std::async(std::launch::async, [&fleet, &entry] {
+            std::this_thread::sleep_for(entry.outage);
+            fleet.store.resume();
+        });
+        endNode(back, SIGTERM);
+        CHECK(monotonicNow() - stoppedAt < Grace);
+        resumed.get();
+        startNode(back);
+        static_cast<void>(back.announce(delayed));
+        std::this_thread::sleep_for(StoreReadPeriod);
+        CHECK((!entry.isStored || countRuns(fleet, "stopped-") == 0));
+    }
+}
