Write departures to the store at most ten times a second

Every deregistration of an id that was never announced was a write to the store, one after the other. The writes that all nodes may make together are few (400 a second), so that one sender could use them up for all.

Cause: each departure was written as soon as it was known.

Change: two writes of a node's departures are at least 100 ms apart; what comes meanwhile goes with the next one. The line departure_not_stored says what the store answered.

--- a/src/ragwortpin/node/store_duty.cpp
+++ b/src/ragwortpin/node/store_duty.cpp
@@ -134,17 +134,15 @@
 /** Reads the stored departures once, then stores those that are not stored yet. After a failure, tries again until it succeeds. */
 void store_duty::syncDepartures()
 {
-    if (restoreDepartures() && storeDepartures()) {
+    const auto pause = restoreDepartures() ? storeDepartures() : DepartureRetryInterval;
+    if (!pause) {
         m_openDepartureUpdates -= std::exchange(m_receivedDepartureUpdates, 0);
         if (const auto confirmation = std::exchange(m_unstoredDepartures.confirmation, 0); confirmation > 0) {
             m_outputs.handleDeparturesStored(confirmation);
         }
         return;
     }
-    if (!m_unstoredDepartures.records.empty()) {
-        logForeign(log_level::Warning, "departure_not_stored", {{"remedy", "none needed; it is stored as soon as the store answers"}});
-    }
-    m_departureTimer.expires_after(DepartureRetryInterval);
+    m_departureTimer.expires_after(*pause);
     m_departureTimer.async_wait([this](boost::system::error_code error) {
         if (!error) {
             runGuarded("departures", [this] {
@@ -164,10 +162,12 @@
     if (reading.isMalformed) {
         logEvent(log_level::Warning, "stored_departure_malformed", {{"key", m_settings.departureKey}});
     }
-    if (!reading.error) {
-        m_storedDepartures = std::move(reading);
+    if (reading.error) {
+        logDeparturesNotStored(reading.error.message());
+        return false;
     }
-    return m_storedDepartures.has_value();
+    m_storedDepartures = std::move(reading);
+    return true;
 }
 
 /** Passes on what was stored before this process started. Returns whether that was done. */
@@ -179,29 +179,42 @@
     return m_areDeparturesRestored;
 }
 
-/** Stores the departures that are not stored yet. Returns whether none is left. */
-bool store_duty::storeDepartures()
+void store_duty::logDeparturesNotStored(const std::string &problem) const
+{
+    if (!m_unstoredDepartures.records.empty()) {
+        logForeign(log_level::Warning, "departure_not_stored", {{"problem", problem}, {"remedy", "none needed; it is tried again"}});
+    }
+}
+
+/** Stores the departures that are not stored yet. Returns nothing if none is left, and otherwise the pause before the next attempt. */
+std::optional<duration> store_duty::storeDepartures()
 {
     auto &unstored = m_unstoredDepartures.records;
     if (unstored.empty()) {
-        return true;
+        return std::nullopt;
     }
     if (!loadDepartures()) {
-        return false;
+        return DepartureRetryInterval;
     }
     auto &stored = *m_storedDepartures;
     auto merged = mergeDepartures(stored.records, unstored);
     if (merged != stored.records) {
+        const auto now = monotonicNow();
+        if (now < m_nextDepartureWriteAt) {
+            return m_nextDepartureWriteAt - now;
+        }
+        m_nextDepartureWriteAt = now + MinDepartureWriteInterval;
         const auto written = writeDepartures(m_call, m_settings.departureKey, merged, stored.revision);
         if (!written.revision) {
             // The write may have taken effect, or may do so later.
             m_storedDepartures.reset();
-            return false;
+            logDeparturesNotStored(written.error ? written.error.message() : "the entry was changed meanwhile");
+            return DepartureRetryInterval;
         }
         stored = {{}, std::move(merged), *written.revision, false};
     }
     unstored.clear();
-    return true;
+    return std::nullopt;
 }
 
 void store_duty::scheduleDiscovery(duration delay)
--- a/src/ragwortpin/node/store_duty.h
+++ b/src/ragwortpin/node/store_duty.h
@@ -62,6 +62,9 @@
     std::uint64_t randomSeed{0};
 };
 
+/** Shortest time between two writes of departures. Anybody who reaches the announcements listener can report any number of them. */
+inline constexpr milliseconds MinDepartureWriteInterval{100};
+
 /** Default head_reader: reads the published head revision, and its content if it is newer than the given revision. */
 [[nodiscard]] head_reply readHead(const store_call &call, std::uint64_t revisionInForce);
 
@@ -104,7 +107,8 @@
     void syncDepartures();
     [[nodiscard]] bool loadDepartures();
     [[nodiscard]] bool restoreDepartures();
-    [[nodiscard]] bool storeDepartures();
+    [[nodiscard]] std::optional<duration> storeDepartures();
+    void logDeparturesNotStored(const std::string &problem) const;
 
     boost::asio::io_context m_context{1};
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_workGuard;
@@ -120,6 +124,7 @@
     std::optional<departure_reading> m_storedDepartures;
     /** Departures that are not stored yet. */
     departure_update m_unstoredDepartures;
+    time_point m_nextDepartureWriteAt{};
     /** Updates that m_unstoredDepartures consists of, and those queued and not stored, which include them. */
     std::size_t m_receivedDepartureUpdates{0};
     std::atomic<std::size_t> m_openDepartureUpdates{0};
--- a/tests/node/store_duty_test.cpp
+++ b/tests/node/store_duty_test.cpp
@@ -9,6 +9,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -49,6 +50,13 @@
         return {{}, true, m_revision, {{std::get<store_range>(request).key, m_value, m_revision}}};
     }
 
+    /** Returns the number of writes that were received. */
+    std::size_t writes()
+    {
+        const std::lock_guard lock{m_mutex};
+        return m_writes;
+    }
+
     std::vector<departure_record> records()
     {
         const std::lock_guard lock{m_mutex};
@@ -58,6 +66,7 @@
 private:
     store_reply write(const store_transaction &transaction)
     {
+        ++m_writes;
         const auto fate = m_fates.empty() ? write_fate::Applied : m_fates.front();
         if (!m_fates.empty()) {
             m_fates.pop_front();
@@ -95,6 +104,7 @@
     std::deque<write_fate> m_fates;
     std::optional<store_transaction> m_late;
     unsigned m_writesSinceLate{0};
+    std::size_t m_writes{0};
     std::string m_value;
     std::int64_t m_revision{100};
 };
@@ -124,6 +134,35 @@
     std::uint64_t m_last{0};
 };
 
+store_call callOf(single_key_store &store)
+{
+    return [&store](const store_request &request) {
+        return store(request);
+    };
+}
+
+store_duty_settings departureSettings()
+{
+    store_duty_settings settings;
+    settings.departureKey = "ragwortpin/departures/back";
+    return settings;
+}
+
+store_duty_outputs departureOutputs(confirmation_probe &probe)
+{
+    return {.handleHeadReply = [](const head_reply &) {},
+            .handleRateReply = [](const rate_reply_event &) {},
+            .handleRestore =
+                [](const restore_event &) {
+                    return true;
+                },
+            .handleDeparturesStored =
+                [&probe](std::uint64_t number) {
+                    probe.settle(number);
+                },
+            .handleDiscovery = [](const discovery_result &) {}};
+}
+
 } // namespace
 
 // Guards against departures that are confirmed and then missing in the store, or never confirmed.
@@ -150,25 +189,7 @@
         single_key_store store{entry.fates};
         confirmation_probe probe;
         metrics_registry metrics;
-        store_duty_settings settings;
-        settings.departureKey = "ragwortpin/departures/back";
-        store_duty duty{[&store](const store_request &request) {
-                            return store(request);
-                        },
-                        readHead,
-                        settings,
-                        {.handleHeadReply = [](const head_reply &) {},
-                         .handleRateReply = [](const rate_reply_event &) {},
-                         .handleRestore =
-                             [](const restore_event &) {
-                                 return true;
-                             },
-                         .handleDeparturesStored =
-                             [&probe](std::uint64_t number) {
-                                 probe.settle(number);
-                             },
-                         .handleDiscovery = [](const discovery_result &) {}},
-                        metrics};
+        store_duty duty{callOf(store), readHead, departureSettings(), departureOutputs(probe), metrics};
         duty.start();
         departure_update first{{drains}, 1};
         REQUIRE(duty.tryStore(first));
@@ -185,3 +206,26 @@
         duty.stop();
     }
 }
+
+// Guards against a sender that uses up the calls that all nodes together may make to the store.
+TEST_CASE("any number of departures causes few writes to the store")
+{
+    constexpr unsigned Departures{100};
+    constexpr milliseconds Interval{5};
+    single_key_store store{{}};
+    confirmation_probe probe;
+    metrics_registry metrics;
+    store_duty duty{callOf(store), readHead, departureSettings(), departureOutputs(probe), metrics};
+    duty.start();
+    const auto startedAt = monotonicNow();
+    for (unsigned number{1}; number <= Departures; ++number) {
+        departure_update update{{{"x" + std::to_string(number), 300, 0, true}}, number};
+        REQUIRE(duty.tryStore(update));
+        std::this_thread::sleep_for(Interval);
+    }
+    REQUIRE(probe.waitFor(Departures));
+    constexpr std::size_t FirstAndLast{2};
+    CHECK(store.writes() <= static_cast<std::size_t>((monotonicNow() - startedAt) / MinDepartureWriteInterval) + FirstAndLast);
+    CHECK(store.records().back().incarnation == "x" + std::to_string(Departures));
+    duty.stop();
+}
